--- /dev/null
+++ b/apps/ToolCommands.cpp
@@ -0,0 +1,176 @@
+#include "ToolCommands.h"
+
+#include "ToolHttp.h"
+#include <currantreel/Configuration>
+#include <currantreel/Core>
+#include <currantreel/Settings>
+#include <filesystem>
+#include <fmt/format.h>
+#include <fstream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace currantreel::tool {
+
+namespace {
+
+using namespace std::chrono_literals;
+using Arguments = std::vector<std::string>;
+
+constexpr Duration hostTimeout = 2s;
+
+int usageError(const std::string &detail)
+{
+    fmt::print(stderr, "{} ({} {}: {})\n", detail, number(ResultCode::ToolUsage),
+               info(ResultCode::ToolUsage).name, info(ResultCode::ToolUsage).remedy);
+    return exitUsage;
+}
+
+int printFaults(const FaultList &faults)
+{
+    for (const Fault &fault : faults)
+        fmt::print(stderr, "{}\n", toText(fault));
+    return exitUsage;
+}
+
+int checkSettings(const Arguments &arguments)
+{
+    if (arguments.size() != 2)
+        return usageError("check-settings takes one file");
+    const auto loaded = loadHostSettings(arguments[1]);
+    if (const auto *faults = std::get_if<FaultList>(&loaded))
+        return printFaults(*faults);
+    fmt::print("{}: all right\n", arguments[1]);
+    return exitOk;
+}
+
+/// Reads and checks a configuration document. @param text receives the document.
+std::variant<Configuration, FaultList> loadConfiguration(const std::string &path, std::string &text)
+{
+    std::ifstream stream(path, std::ios::binary);
+    if (!stream)
+        return FaultList{ Fault{ ResultCode::SettingsUnreadable, path, 0, "(document)",
+                                 "the file cannot be read" } };
+    std::ostringstream content;
+    content << stream.rdbuf();
+    text = content.str();
+    return parseConfiguration(text, path);
+}
+
+int configCheck(const Arguments &arguments)
+{
+    if (arguments.size() != 3)
+        return usageError("config check takes one file");
+    std::string text;
+    const auto loaded = loadConfiguration(arguments[2], text);
+    if (const auto *faults = std::get_if<FaultList>(&loaded))
+        return printFaults(*faults);
+    fmt::print("{}: all right, digest {}\n", arguments[2], digestOf(text));
+    return exitOk;
+}
+
+int configInit(const Arguments &arguments)
+{
+    if (arguments.size() != 4)
+        return usageError("config init takes a directory and a file");
+    std::string text;
+    const auto loaded = loadConfiguration(arguments[3], text);
+    if (const auto *faults = std::get_if<FaultList>(&loaded))
+        return printFaults(*faults);
+    const std::filesystem::path values = std::filesystem::path(arguments[2]) / "values";
+    if (std::filesystem::exists(values / "head"))
+        return usageError("the directory has a configuration already");
+    std::error_code failure;
+    std::filesystem::create_directories(values / "snapshot" / "1", failure);
+    std::ofstream(values / "snapshot" / "1" / "0", std::ios::binary) << text;
+    std::ofstream head(values / "head", std::ios::binary);
+    head << nlohmann::json{ { "version", 1 }, { "digest", digestOf(text) } }.dump() << '\n';
+    if (failure || !head)
+        return usageError("the directory cannot be written");
+    fmt::print("version 1, digest {}\n", digestOf(text));
+    return exitOk;
+}
+
+int config(const Arguments &arguments)
+{
+    if (arguments.size() > 1 && arguments[1] == "check")
+        return configCheck(arguments);
+    if (arguments.size() > 1 && arguments[1] == "init")
+        return configInit(arguments);
+    return usageError("config takes one of: check, init");
+}
+
+void printStatus(const nlohmann::json &status)
+{
+    fmt::print("{:<16} {:<12} {:<9} version {:<6} in progress {:<5} queued {}\n",
+               status.value("host", "?"), status.value("failure_domain", "?"),
+               status.value("ready", false) ? "ready" : "not ready",
+               status.at("configuration").value("version", 0),
+               status.value("requests_in_progress", 0), status.value("queued", 0));
+    for (const nlohmann::json &row : status.at("classes"))
+        fmt::print("  class {:<24} arrived {:<7} completed {:<7} in target {:<7} not run {:<5} "
+                   "unknown {}\n",
+                   row.value("name", "?"), row.value("arrived", 0), row.value("completed", 0),
+                   row.value("in_target", 0), row.value("not_run", 0), row.value("unknown", 0));
+    for (const nlohmann::json &row : status.at("backend_servers"))
+        fmt::print("  server {:<23} slots {:<9} in flight {}\n", row.value("name", "?"),
+                   row.value("slots", 0), row.value("in_flight", 0));
+}
+
+int showStatus(const std::string &host)
+{
+    const auto address = parseAddress(host);
+    if (!address)
+        return usageError(fmt::format("'{}' is not an IP number and a port", host));
+    const Result<HttpAnswer> answer = httpGet(*address, "/v1/status", hostTimeout);
+    const nlohmann::json status = isError(answer)
+                                      ? nlohmann::json()
+                                      : nlohmann::json::parse(value(answer).body, nullptr, false);
+    if (!status.is_object()) {
+        fmt::print(stderr, "{}: out of reach ({} {})\n", host,
+                   number(ResultCode::ToolHostUnreachable),
+                   info(ResultCode::ToolHostUnreachable).remedy);
+        return exitUnreachable;
+    }
+    printStatus(status);
+    return exitOk;
+}
+
+int status(const Arguments &arguments)
+{
+    if (arguments.size() < 2)
+        return usageError("status takes the operator addresses of hosts");
+    int worst = exitOk;
+    for (std::size_t i = 1; i < arguments.size(); ++i)
+        worst = std::max(worst, showStatus(arguments[i]));
+    return worst;
+}
+
+int codes()
+{
+    for (const ResultCodeInfo &entry : resultCodeTable)
+        fmt::print("{} {:<32} {:<4} {}\n", number(entry.code), entry.name, entry.httpStatus,
+                   entry.remedy);
+    return exitOk;
+}
+
+} // namespace
+
+int run(const Arguments &arguments)
+{
+    if (arguments.empty())
+        return usageError("no command");
+    const std::string &command = arguments.front();
+    if (command == "check-settings")
+        return checkSettings(arguments);
+    if (command == "config")
+        return config(arguments);
+    if (command == "status")
+        return status(arguments);
+    if (command == "codes")
+        return codes();
+    return usageError(fmt::format("unknown command '{}'", command));
+}
+
+} // namespace currantreel::tool
--- /dev/null
+++ b/apps/ToolHttp.cpp
@@ -0,0 +1,35 @@
+#include "ToolHttp.h"
+
+#include <currantreel/src/Shell/OutgoingExchange.h>
+
+namespace currantreel::tool {
+
+Result<HttpAnswer> httpGet(const Address &address, const std::string &path, Duration timeout)
+{
+    const EventBaseHandle base(event_base_new());
+    HttpAnswer answer;
+    bool isWhole = false;
+    OutgoingRequest request;
+    request.address = address;
+    request.path = path;
+    request.silence = timeout;
+    OutgoingCallbacks callbacks;
+    callbacks.onHead = [&](const AnswerHead &head) { answer.status = head.status; };
+    callbacks.onBody = [&](evbuffer *body) {
+        const std::size_t before = answer.body.size();
+        answer.body.resize(before + evbuffer_get_length(body));
+        evbuffer_remove(body, answer.body.data() + before, answer.body.size() - before);
+    };
+    callbacks.onDone = [&] {
+        isWhole = true;
+        event_base_loopbreak(base.get());
+    };
+    callbacks.onFailed = [&](bool) { event_base_loopbreak(base.get()); };
+    const OutgoingExchange exchange(base.get(), request, std::move(callbacks));
+    event_base_dispatch(base.get());
+    if (!isWhole)
+        return Error{ ResultCode::ToolHostUnreachable, toText(address) };
+    return answer;
+}
+
+} // namespace currantreel::tool
--- /dev/null
+++ b/apps/currantreel.cpp
@@ -0,0 +1,34 @@
+/// @file
+/// The command-line tool. Exit status: 0 all right, 1 the answer is no, 2 wrong usage or input,
+/// 3 a host could not be reached.
+
+#include "ToolCommands.h"
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
+#include <fmt/format.h>
+
+namespace {
+
+constexpr const char *usageText =
+    "Works with the router's settings, configuration and hosts.\n"
+    "usage: currantreel COMMAND [ARGUMENT...]\n"
+    "  check-settings FILE              check a host's settings\n"
+    "  config check FILE                check a configuration document\n"
+    "  config init DIRECTORY FILE       lay out FILE as version 1 of a directory of values\n"
+    "  status HOST...                   show hosts by their operator addresses\n"
+    "  codes                            list the numbered result codes";
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    absl::FlagsUsageConfig usage;
+    usage.version_string = [] { return std::string("currantreel " CURRANTREEL_VERSION "\n"); };
+    absl::SetFlagsUsageConfig(usage);
+    absl::SetProgramUsageMessage(usageText);
+    const std::vector<char *> positional = absl::ParseCommandLine(argc, argv);
+    const std::vector<std::string> arguments(positional.begin() + 1, positional.end());
+    return currantreel::tool::run(arguments);
+}
--- /dev/null
+++ b/currantreel/src/Core/Id.h
@@ -0,0 +1,64 @@
+#ifndef CURRANTREEL_CORE_ID_H
+#define CURRANTREEL_CORE_ID_H
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string_view>
+#include <xxhash.h>
+
+namespace currantreel {
+
+/// Strongly typed 64-bit identifier. Two identifiers of different tags do not compare or convert.
+///
+/// Identifiers of named things (hosts, backend servers, classes, workspaces, models) are a hash of
+/// the name, so that every host computes the same identifier without talking.
+/// @tparam Tag names the kind of thing identified.
+template <typename Tag>
+struct Id
+{
+    std::uint64_t value = 0;
+
+    /// Identifier of the thing called @p name, the same on every host.
+    [[nodiscard]] static Id ofName(std::string_view name)
+    {
+        return Id{ XXH3_64bits(name.data(), name.size()) };
+    }
+
+    /// False for the default value, which identifies nothing.
+    [[nodiscard]] constexpr bool isValid() const { return value != 0; }
+
+    friend constexpr auto operator<=>(const Id &, const Id &) = default;
+};
+
+using HostId = Id<struct HostTag>;
+using FailureDomainId = Id<struct FailureDomainTag>;
+using BackendServerId = Id<struct BackendServerTag>;
+using ClassId = Id<struct ClassTag>;
+using WorkspaceId = Id<struct WorkspaceTag>;
+using ModelId = Id<struct ModelTag>;
+using ServiceId = Id<struct ServiceTag>;
+
+/// One exchange between a caller and this host; unique within an incarnation.
+using RequestId = Id<struct RequestTag>;
+/// One try to run a request on one backend server; unique within an incarnation.
+using AttemptId = Id<struct AttemptTag>;
+/// One granted slot of a backend server; unique within an owner's incarnation.
+using LeaseId = Id<struct LeaseTag>;
+
+/// Number that a process draws at start. A restart of the same host has a higher one.
+using Incarnation = Id<struct IncarnationTag>;
+
+} // namespace currantreel
+
+template <typename Tag>
+struct std::hash<currantreel::Id<Tag>>
+{
+    std::size_t operator()(const currantreel::Id<Tag> &id) const noexcept
+    {
+        return static_cast<std::size_t>(id.value * 0x9E3779B97F4A7C15ULL);
+    }
+};
+
+#endif
--- /dev/null
+++ b/currantreel/src/Settings/HostSettings.cpp
@@ -0,0 +1,104 @@
+#include "HostSettings.h"
+
+#include "CheckedTable.h"
+#include <fmt/format.h>
+
+namespace currantreel {
+
+namespace {
+
+using detail::CheckedTable;
+using detail::Range;
+
+constexpr std::int64_t kibibyte = 1024;
+constexpr std::int64_t mebibyte = 1024 * kibibyte;
+constexpr Range platformPollMilliseconds{ 100, 60'000 };
+constexpr Range stopGraceMilliseconds{ 0, 600'000 };
+constexpr std::size_t shortestSecretBytes = 16;
+
+void readHost(CheckedTable table, HostSettings &settings)
+{
+    settings.name = table.string("name");
+    settings.failureDomain = table.string("failure_domain");
+    settings.region = table.string("region", "default");
+    table.refuseUnknownKeys();
+}
+
+void readListen(CheckedTable table, HostSettings &settings)
+{
+    settings.callers = table.address("callers");
+    settings.operators = table.address("operators");
+    settings.peers = table.address("peers");
+    table.refuseUnknownKeys();
+}
+
+void readPlatform(CheckedTable table, HostSettings &settings)
+{
+    for (const std::string &text : table.strings("addresses", true)) {
+        if (const auto address = parseAddress(text))
+            settings.platform.push_back(*address);
+        else
+            table.fault(ResultCode::SettingsBadAddress, "addresses",
+                        fmt::format("'{}' is not an IP number and a port", text));
+    }
+    settings.platformPoll = table.milliseconds("watch_ms", platformPollMilliseconds, 5'000);
+    table.refuseUnknownKeys();
+}
+
+void readCluster(CheckedTable table, HostSettings &settings)
+{
+    settings.clusterSecret = table.string("secret");
+    if (!settings.clusterSecret.empty() && settings.clusterSecret.size() < shortestSecretBytes)
+        table.fault(ResultCode::SettingsOutOfRange, "secret",
+                    fmt::format("shorter than {} characters", shortestSecretBytes));
+    table.refuseUnknownKeys();
+}
+
+void readLimits(CheckedTable table, HostLimits &limits)
+{
+    const auto bytes = [&table](std::string_view key, Range range, std::int64_t fallback) {
+        return static_cast<std::size_t>(table.integer(key, range, fallback));
+    };
+    limits.bodyBytes = bytes("body_bytes", { kibibyte, 64 * mebibyte }, 4 * mebibyte);
+    limits.headerBytes = bytes("header_bytes", { kibibyte, mebibyte }, 16 * kibibyte);
+    limits.answerBytes = bytes("answer_bytes", { kibibyte, 64 * mebibyte }, 8 * mebibyte);
+    limits.streamBufferBytes =
+        bytes("stream_buffer_bytes", { 4 * kibibyte, 16 * mebibyte }, 256 * kibibyte);
+    limits.requests = bytes("requests", { 1, 100'000 }, 4'096);
+    limits.keptAnswerBytes = bytes("kept_answer_bytes", { 0, 64 * mebibyte }, 16 * mebibyte);
+    table.refuseUnknownKeys();
+}
+
+} // namespace
+
+std::variant<HostSettings, FaultList> parseHostSettings(std::string_view text,
+                                                        const std::string &file)
+{
+    FaultList faults;
+    const auto document = detail::parseToml(text, file, faults);
+    if (!document)
+        return faults;
+    HostSettings settings;
+    CheckedTable root(*document, file, "", faults);
+    readHost(root.table("host"), settings);
+    readListen(root.table("listen"), settings);
+    readPlatform(root.table("platform"), settings);
+    readCluster(root.table("cluster"), settings);
+    readLimits(root.table("limits", false), settings.limits);
+    settings.stopGrace = root.milliseconds("stop_grace_ms", stopGraceMilliseconds, 120'000);
+    root.refuseUnknownKeys();
+    if (!faults.empty())
+        return faults;
+    return settings;
+}
+
+std::variant<HostSettings, FaultList> loadHostSettings(const std::string &path)
+{
+    FaultList faults;
+    const auto text = detail::readFile(path, faults);
+    if (!text)
+        return faults;
+    return parseHostSettings(*text, path);
+}
+
+} // namespace currantreel
--- /dev/null
+++ b/currantreel/src/Settings/HostSettings.h
@@ -0,0 +1,53 @@
+#ifndef CURRANTREEL_SETTINGS_HOSTSETTINGS_H
+#define CURRANTREEL_SETTINGS_HOSTSETTINGS_H
+
+#include "../Core/Time.h"
+#include "Address.h"
+#include "Fault.h"
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace currantreel {
+
+/// Bounds on what one host takes in.
+struct HostLimits
+{
+    std::size_t bodyBytes = 0; ///< Largest request body.
+    std::size_t headerBytes = 0; ///< Largest request header block.
+    std::size_t answerBytes = 0; ///< Largest answer that is not streamed.
+    std::size_t streamBufferBytes =
+        0; ///< Unsent bytes of a stream above which the engine is not read.
+    std::size_t requests = 0; ///< Requests in progress at once.
+    std::size_t keptAnswerBytes = 0; ///< Answers kept for idempotency keys, all together.
+};
+
+/// Settings of one daemon: who it is, where it listens and whom it asks.
+struct HostSettings
+{
+    std::string name;
+    std::string failureDomain;
+    std::string region;
+    Address callers; ///< Where callers reach this host.
+    Address operators; ///< Where operators reach this host.
+    Address peers; ///< Where other hosts reach this host.
+    std::vector<Address> platform; ///< The platform's service, tried in order.
+    Duration platformPoll{}; ///< Longest wait of one watch on the platform.
+    std::string clusterSecret; ///< Shared by all hosts; proves a peer.
+    Duration stopGrace{}; ///< Longest time a planned stop waits for requests in progress.
+    HostLimits limits;
+};
+
+/// Checks a settings document. @param file name used in faults.
+/// @return the settings, or every fault found.
+[[nodiscard]] std::variant<HostSettings, FaultList> parseHostSettings(std::string_view text,
+                                                                      const std::string &file);
+
+/// Reads and checks the settings file at @p path.
+[[nodiscard]] std::variant<HostSettings, FaultList> loadHostSettings(const std::string &path);
+
+} // namespace currantreel
+
+#endif
--- /dev/null
+++ b/currantreel/src/Shell/CallerFront.h
@@ -0,0 +1,93 @@
+#ifndef CURRANTREEL_SHELL_CALLERFRONT_H
+#define CURRANTREEL_SHELL_CALLERFRONT_H
+
+#include "../Settings/HostSettings.h"
+#include "../World/Effect.h"
+#include "../World/Event.h"
+#include "AnswerStore.h"
+#include "EventHandles.h"
+#include "OutgoingExchange.h"
+#include "SseScanner.h"
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace currantreel {
+
+/// Where fronts put what happened.
+using EventSink = std::function<void(Event)>;
+
+/// Serves callers: reads their requests, runs attempts at backend servers and relays the answers.
+class CallerFront
+{
+public:
+    CallerFront(event_base *base, const HostSettings &settings, Incarnation incarnation,
+                EventSink sink);
+    ~CallerFront();
+    CallerFront(const CallerFront &) = delete;
+    CallerFront &operator=(const CallerFront &) = delete;
+
+    /// Starts to listen. False if the address cannot be had.
+    [[nodiscard]] bool listen();
+
+    void handle(const StartAttempt &effect);
+    void handle(const CancelAttempt &effect);
+    void handle(const RelayAttempt &effect);
+    void handle(const FinishReply &effect);
+    void handle(const RefuseRequest &effect);
+    void handle(const ForwardRequest &effect);
+    void handle(const KeyIssued &effect);
+    void handle(const KeyAssigned &effect);
+    void handle(const KeyStateTold &effect);
+    void handle(const KeepAnswer &effect);
+    void handle(const ReplayAnswer &effect);
+    void handle(const DropAnswer &effect);
+    void handle(const CloseExchange &effect);
+
+    /// Frees failed attempts. Must not be called from a callback of one.
+    void sweep();
+
+    [[nodiscard]] std::size_t exchanges() const { return m_exchanges.size(); }
+
+private:
+    struct Exchange;
+    struct Attempt;
+
+    static void onRequest(evhttp_request *request, void *self);
+    static void onConnectionClosed(evhttp_connection *connection, void *exchange);
+    static void onReplyDrained(evhttp_connection *connection, void *exchange);
+
+    void accept(evhttp_request *request);
+    void acceptKeyRequest(evhttp_request *request, const std::string &path);
+    Exchange &open(evhttp_request *request);
+    void startAttempt(Exchange &exchange, AttemptId id, const OutgoingRequest &outgoing,
+                      bool isForward);
+    OutgoingRequest outgoingOf(const Exchange &exchange, const Address &address) const;
+    void onHead(Attempt &attempt, const AnswerHead &head);
+    void onBody(Attempt &attempt, evbuffer *body);
+    void onDone(Attempt &attempt);
+    void onFailed(Attempt &attempt, bool wasWritten);
+    void beginRelay(Exchange &exchange, Attempt &attempt);
+    void relay(Exchange &exchange, Attempt &attempt, evbuffer *body);
+    void finish(Exchange &exchange);
+    void detachCaller(Exchange &exchange);
+    void close(RequestId id);
+    Exchange *find(RequestId id);
+    Attempt *find(AttemptId id);
+
+    event_base *m_base;
+    const HostSettings *m_settings;
+    EventSink m_sink;
+    HttpServerHandle m_server;
+    AnswerStore m_answers;
+    std::unordered_map<RequestId, std::unique_ptr<Exchange>> m_exchanges;
+    std::unordered_map<AttemptId, std::unique_ptr<Attempt>> m_attempts;
+    std::uint64_t m_nextRequest;
+    std::uint64_t m_nextForward = 1;
+};
+
+} // namespace currantreel
+
+#endif
--- /dev/null
+++ b/currantreel/src/Shell/CallerRequest.cpp
@@ -0,0 +1,128 @@
+#include "CallerRequest.h"
+
+#include "EventHandles.h"
+#include "HttpReply.h"
+#include <array>
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <strings.h>
+#include <xxhash.h>
+
+namespace currantreel {
+
+namespace {
+
+constexpr std::string_view chatPath = "/v1/chat/completions";
+constexpr std::string_view completionPath = "/v1/completions";
+constexpr std::string_view servicePrefix = "/v1/services/";
+
+/// Bytes of text that make about one token.
+constexpr std::size_t bytesPerToken = 4;
+/// Length of the start of a prompt that is taken as its prefix, in bytes.
+constexpr std::size_t prefixBytes = 512;
+constexpr std::int64_t longestDeadlineMilliseconds = 3'600'000;
+
+std::string_view bodyOf(evhttp_request *request)
+{
+    evbuffer *body = evhttp_request_get_input_buffer(request);
+    const std::size_t length = evbuffer_get_length(body);
+    const unsigned char *bytes = length ? evbuffer_pullup(body, -1) : nullptr;
+    return { reinterpret_cast<const char *>(bytes), length };
+}
+
+std::uint64_t hashOf(std::string_view text)
+{
+    return XXH3_64bits(text.data(), text.size());
+}
+
+Result<RequestArrived> readDeadline(evhttp_request *request, RequestArrived event)
+{
+    const std::string text = headerOf(request, "Currantreel-Deadline-Ms");
+    if (text.empty())
+        return event;
+    std::int64_t milliseconds = 0;
+    const auto [end, failure] =
+        std::from_chars(text.data(), text.data() + text.size(), milliseconds);
+    const bool isWhole = failure == std::errc() && end == text.data() + text.size();
+    if (!isWhole || milliseconds < 1 || milliseconds > longestDeadlineMilliseconds)
+        return Error{ ResultCode::RequestBadDeadline, "Currantreel-Deadline-Ms: " + text };
+    event.deadline = std::chrono::milliseconds(milliseconds);
+    return event;
+}
+
+/// Text at which a prompt begins, which engines may have cached.
+std::string promptStart(const nlohmann::json &body, RequestKind kind)
+{
+    const char *const key = kind == RequestKind::ChatCompletion ? "messages" : "prompt";
+    std::string start = body.at("model").get<std::string>();
+    if (const auto prompt = body.find(key); prompt != body.end())
+        start += prompt->is_array() && !prompt->empty() ? prompt->front().dump() : prompt->dump();
+    return start.substr(0, prefixBytes);
+}
+
+Result<RequestArrived> readCompletion(evhttp_request *request, RequestArrived event)
+{
+    const std::string_view text = bodyOf(request);
+    const nlohmann::json body = nlohmann::json::parse(text, nullptr, false);
+    if (!body.is_object())
+        return Error{ ResultCode::RequestMalformed, "the body is not a JSON object" };
+    const auto model = body.find("model");
+    if (model == body.end() || !model->is_string())
+        return Error{ ResultCode::RequestMalformed, "'model' is missing or not a string" };
+    const char *const promptKey = event.kind == RequestKind::ChatCompletion ? "messages" : "prompt";
+    if (!body.contains(promptKey))
+        return Error{ ResultCode::RequestMalformed, "'" + std::string(promptKey) + "' is missing" };
+    try {
+        event.target = model->get<std::string>();
+        event.prefixHash = hashOf(promptStart(body, event.kind));
+    } catch (const nlohmann::json::exception &failure) {
+        return Error{ ResultCode::RequestMalformed, failure.what() };
+    }
+    event.promptTokens = static_cast<std::uint32_t>(text.size() / bytesPerToken + 1);
+    return event;
+}
+
+} // namespace
+
+bool isHopHeader(const char *name)
+{
+    static constexpr std::array hopHeaders{
+        "Host",       "Connection", "Content-Length",   "Transfer-Encoding",
+        "Keep-Alive", "Upgrade",    "Proxy-Connection", "TE",
+        "Trailer",    "Expect",
+    };
+    for (const char *const hop : hopHeaders) {
+        if (strcasecmp(name, hop) == 0)
+            return true;
+    }
+    return false;
+}
+
+Result<RequestArrived> readCallerRequest(evhttp_request *request)
+{
+    RequestArrived event;
+    const std::string path = pathOf(request);
+    const bool isService = path.compare(0, servicePrefix.size(), servicePrefix) == 0;
+    if (path != chatPath && path != completionPath && !isService)
+        return Error{ ResultCode::RequestUnknownPath, path };
+    if (!isService && evhttp_request_get_command(request) != EVHTTP_REQ_POST)
+        return Error{ ResultCode::RequestWrongMethod, path };
+    event.className = headerOf(request, "Currantreel-Class");
+    event.workspace = headerOf(request, "Currantreel-Workspace");
+    event.idempotencyKey = headerOf(request, "Idempotency-Key");
+    event.isForwarded = !headerOf(request, "Currantreel-Forwarded").empty();
+    event.bodyHash = hashOf(bodyOf(request)) ^ hashOf(path);
+    if (isService) {
+        event.kind = RequestKind::Service;
+        const std::string rest = path.substr(servicePrefix.size());
+        event.target = rest.substr(0, rest.find('/'));
+        return readDeadline(request, std::move(event));
+    }
+    event.kind = path == chatPath ? RequestKind::ChatCompletion : RequestKind::Completion;
+    Result<RequestArrived> read = readCompletion(request, std::move(event));
+    if (isError(read))
+        return read;
+    return readDeadline(request, std::move(value(read)));
+}
+
+} // namespace currantreel
--- /dev/null
+++ b/currantreel/src/Shell/Daemon.cpp
@@ -0,0 +1,141 @@
+#include "Daemon.h"
+
+#include "../World/Timing.h"
+#include <csignal>
+#include <sodium.h>
+
+namespace currantreel {
+
+namespace {
+
+constexpr int exitOk = 0;
+constexpr int exitListenFailed = 3;
+constexpr int exitStopTimedOut = 4;
+
+/// Bits of an identifier below the incarnation, so that identifiers of two incarnations of a host
+/// differ as long as a process makes fewer than 2^20 a millisecond.
+constexpr unsigned sequenceBits = 20;
+
+/// Time left to send the last replies after the last request has ended.
+constexpr Duration flushTime = std::chrono::milliseconds(200);
+
+Incarnation drawIncarnation()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    const auto milliseconds =
+        std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
+    return Incarnation{ static_cast<std::uint64_t>(milliseconds) << sequenceBits };
+}
+
+KeySecret drawSecret()
+{
+    KeySecret secret{};
+    randombytes_buf(secret.data(), secret.size());
+    return secret;
+}
+
+HostIdentity identityOf(const HostSettings &settings, Incarnation incarnation)
+{
+    return HostIdentity{ HostId::ofName(settings.name), settings.name,
+                         FailureDomainId::ofName(settings.failureDomain), incarnation };
+}
+
+} // namespace
+
+Daemon::Daemon(const HostSettings &settings)
+    : m_settings(&settings),
+      m_base(event_base_new()),
+      m_incarnation(drawIncarnation()),
+      m_log(settings.name, m_incarnation.value),
+      m_world(identityOf(settings, m_incarnation), drawSecret()),
+      m_callers(m_base.get(), settings, m_incarnation,
+                [this](Event event) { post(std::move(event)); }),
+      m_operators(m_base.get(), settings, m_world),
+      m_platform(m_base.get(), settings, m_log, [this](Event event) { post(std::move(event)); }),
+      m_tick(event_new(m_base.get(), -1, EV_PERSIST, &Daemon::onTick, this)),
+      m_terminate(evsignal_new(m_base.get(), SIGTERM, &Daemon::onSignal, this)),
+      m_interrupt(evsignal_new(m_base.get(), SIGINT, &Daemon::onSignal, this))
+{
+}
+
+TimePoint Daemon::now()
+{
+    const auto sinceOrigin = std::chrono::steady_clock::now().time_since_epoch();
+    return TimePoint(std::chrono::duration_cast<Duration>(sinceOrigin));
+}
+
+int Daemon::run()
+{
+    if (!m_callers.listen() || !m_operators.listen()) {
+        m_log.write("listen_failed",
+                    { { "code", std::to_string(number(ResultCode::SettingsListenFailed)) },
+                      { "callers", toText(m_settings->callers) },
+                      { "operators", toText(m_settings->operators) } });
+        return exitListenFailed;
+    }
+    signal(SIGPIPE, SIG_IGN);
+    const timeval interval = toTimeval(timing::tickInterval);
+    event_add(m_tick.get(), &interval);
+    event_add(m_terminate.get(), nullptr);
+    event_add(m_interrupt.get(), nullptr);
+    m_platform.start();
+    m_log.write("started", { { "callers", toText(m_settings->callers) },
+                             { "operators", toText(m_settings->operators) } });
+    event_base_dispatch(m_base.get());
+    const bool hasCompleted = m_callers.exchanges() == 0;
+    m_log.write("stopped", { { "requests_cut_off", std::to_string(m_callers.exchanges()) } });
+    return hasCompleted ? exitOk : exitStopTimedOut;
+}
+
+void Daemon::post(Event event)
+{
+    m_events.push_back(std::move(event));
+    event_active(m_tick.get(), EV_TIMEOUT, 0);
+}
+
+void Daemon::onTick(int /*descriptor*/, short /*what*/, void *self)
+{
+    static_cast<Daemon *>(self)->tick();
+}
+
+void Daemon::tick()
+{
+    const std::vector<Event> events = std::exchange(m_events, {});
+    for (const Effect &effect : m_world.step(now(), events))
+        std::visit([this](const auto &one) { handle(one); }, effect);
+    m_callers.sweep();
+    if (m_isStopping && now() > m_stopBy)
+        event_base_loopbreak(m_base.get());
+}
+
+void Daemon::onSignal(int /*signal*/, short /*what*/, void *self)
+{
+    static_cast<Daemon *>(self)->stop();
+}
+
+void Daemon::stop()
+{
+    if (m_isStopping)
+        return;
+    m_isStopping = true;
+    m_stopBy = now() + m_settings->stopGrace;
+    m_log.write("stopping",
+                { { "requests_in_progress", std::to_string(m_world.requestsInProgress()) } });
+    post(StopOrdered{});
+}
+
+void Daemon::handle(const SendPeer & /*effect*/) { }
+
+void Daemon::handle(const ConfigurationInForce &effect)
+{
+    m_log.write("configuration_in_force", { { "version", std::to_string(effect.version) },
+                                            { "digest", m_world.configuration().digest } });
+}
+
+void Daemon::handle(const StopCompleted & /*effect*/)
+{
+    const timeval rest = toTimeval(flushTime);
+    event_base_loopexit(m_base.get(), &rest);
+}
+
+} // namespace currantreel
--- /dev/null
+++ b/currantreel/src/Shell/Daemon.h
@@ -0,0 +1,59 @@
+#ifndef CURRANTREEL_SHELL_DAEMON_H
+#define CURRANTREEL_SHELL_DAEMON_H
+
+#include "../Log/Log.h"
+#include "../Settings/HostSettings.h"
+#include "../World/World.h"
+#include "CallerFront.h"
+#include "EventHandles.h"
+#include "OperatorFront.h"
+#include "PlatformClient.h"
+#include <vector>
+
+namespace currantreel {
+
+/// One host: the world and the fronts around it, on one loop in one thread.
+class Daemon
+{
+public:
+    explicit Daemon(const HostSettings &settings);
+
+    /// Listens, then runs until a planned stop has completed. Returns the process's exit status.
+    [[nodiscard]] int run();
+
+private:
+    void post(Event event);
+    void tick();
+    void stop();
+    void handle(const SendPeer &effect);
+    void handle(const ConfigurationInForce &effect);
+    void handle(const StopCompleted &effect);
+    template <typename T>
+    void handle(const T &effect)
+    {
+        m_callers.handle(effect);
+    }
+
+    static TimePoint now();
+    static void onTick(int descriptor, short what, void *self);
+    static void onSignal(int signal, short what, void *self);
+
+    const HostSettings *m_settings;
+    EventBaseHandle m_base;
+    Incarnation m_incarnation;
+    Log m_log;
+    World m_world;
+    CallerFront m_callers;
+    OperatorFront m_operators;
+    PlatformClient m_platform;
+    std::vector<Event> m_events;
+    EventHandle m_tick;
+    EventHandle m_terminate;
+    EventHandle m_interrupt;
+    TimePoint m_stopBy;
+    bool m_isStopping = false;
+};
+
+} // namespace currantreel
+
+#endif
--- /dev/null
+++ b/currantreel/src/Shell/EventHandles.h
@@ -0,0 +1,51 @@
+#ifndef CURRANTREEL_SHELL_EVENTHANDLES_H
+#define CURRANTREEL_SHELL_EVENTHANDLES_H
+
+#include "../Core/Time.h"
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <memory>
+#include <sys/time.h>
+
+namespace currantreel {
+
+namespace detail {
+
+/// Frees a libevent object. @tparam Free the library's own function.
+template <auto Free>
+struct EventDeleter
+{
+    template <typename T>
+    void operator()(T *object) const
+    {
+        Free(object);
+    }
+};
+
+} // namespace detail
+
+using EventBaseHandle = std::unique_ptr<event_base, detail::EventDeleter<event_base_free>>;
+using EventHandle = std::unique_ptr<event, detail::EventDeleter<event_free>>;
+using HttpServerHandle = std::unique_ptr<evhttp, detail::EventDeleter<evhttp_free>>;
+using HttpConnectionHandle =
+    std::unique_ptr<evhttp_connection, detail::EventDeleter<evhttp_connection_free>>;
+using BufferHandle = std::unique_ptr<evbuffer, detail::EventDeleter<evbuffer_free>>;
+
+/// A new empty buffer.
+[[nodiscard]] inline BufferHandle makeBuffer()
+{
+    return BufferHandle(evbuffer_new());
+}
+
+/// @p time as libevent takes it.
+[[nodiscard]] inline timeval toTimeval(Duration time)
+{
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(time);
+    return timeval{ seconds.count(), (time - seconds).count() };
+}
+
+} // namespace currantreel
+
+#endif
--- /dev/null
+++ b/currantreel/src/Shell/HttpReply.cpp
@@ -0,0 +1,87 @@
+#include "HttpReply.h"
+
+#include "EventHandles.h"
+#include <cmath>
+#include <event2/keyvalq_struct.h>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace currantreel {
+
+namespace {
+
+double toSeconds(Duration time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+} // namespace
+
+std::string errorBody(ResultCode code, Outcome outcome, Duration retryAfter,
+                      std::string_view detail)
+{
+    nlohmann::json error;
+    error["code"] = number(code);
+    error["name"] = info(code).name;
+    error["outcome"] = name(outcome);
+    error["message"] = detail.empty() ? info(code).remedy : detail;
+    if (retryAfter > Duration::zero())
+        error["retry_after"] = toSeconds(retryAfter);
+    return nlohmann::json{ { "error", error } }.dump(-1, ' ', false,
+                                                     nlohmann::json::error_handler_t::replace);
+}
+
+void sendReply(evhttp_request *request, int status, std::string_view contentType,
+               std::string_view body)
+{
+    const BufferHandle buffer = makeBuffer();
+    evbuffer_add(buffer.get(), body.data(), body.size());
+    evkeyvalq *headers = evhttp_request_get_output_headers(request);
+    evhttp_remove_header(headers, "Content-Type");
+    evhttp_add_header(headers, "Content-Type", std::string(contentType).c_str());
+    evhttp_send_reply(request, status, nullptr, buffer.get());
+}
+
+void sendError(evhttp_request *request, ResultCode code, Outcome outcome, Duration retryAfter,
+               std::string_view detail)
+{
+    evkeyvalq *headers = evhttp_request_get_output_headers(request);
+    evhttp_add_header(headers, "Currantreel-Code", std::to_string(number(code)).c_str());
+    evhttp_add_header(headers, "Currantreel-Outcome", std::string(name(outcome)).c_str());
+    if (retryAfter > Duration::zero()) {
+        const std::string seconds = std::to_string(std::lround(std::ceil(toSeconds(retryAfter))));
+        evhttp_add_header(headers, "Retry-After", seconds.c_str());
+    }
+    sendReply(request, info(code).httpStatus, jsonType,
+              errorBody(code, outcome, retryAfter, detail));
+}
+
+std::string headerOf(evhttp_request *request, const char *name)
+{
+    const char *value = evhttp_find_header(evhttp_request_get_input_headers(request), name);
+    return value ? value : "";
+}
+
+std::string pathOf(evhttp_request *request)
+{
+    const evhttp_uri *uri = evhttp_request_get_evhttp_uri(request);
+    const char *path = uri ? evhttp_uri_get_path(uri) : nullptr;
+    return path ? path : "";
+}
+
+std::string queryOf(evhttp_request *request, const char *name)
+{
+    const evhttp_uri *uri = evhttp_request_get_evhttp_uri(request);
+    const char *query = uri ? evhttp_uri_get_query(uri) : nullptr;
+    if (!query)
+        return "";
+    evkeyvalq parameters{};
+    if (evhttp_parse_query_str(query, &parameters) != 0)
+        return "";
+    const char *value = evhttp_find_header(&parameters, name);
+    std::string text = value ? value : "";
+    evhttp_clear_headers(&parameters);
+    return text;
+}
+
+} // namespace currantreel
--- /dev/null
+++ b/currantreel/src/Shell/HttpReply.h
@@ -0,0 +1,39 @@
+#ifndef CURRANTREEL_SHELL_HTTPREPLY_H
+#define CURRANTREEL_SHELL_HTTPREPLY_H
+
+#include "../Core/Outcome.h"
+#include "../Core/ResultCode.h"
+#include "../Core/Time.h"
+#include <event2/http.h>
+#include <string>
+#include <string_view>
+
+namespace currantreel {
+
+inline constexpr std::string_view jsonType = "application/json";
+inline constexpr std::string_view eventStreamType = "text/event-stream";
+
+/// The error object that callers get: code, name, outcome, message and retry_after in seconds.
+[[nodiscard]] std::string errorBody(ResultCode code, Outcome outcome, Duration retryAfter,
+                                    std::string_view detail = "");
+
+/// Sends a whole reply.
+void sendReply(evhttp_request *request, int status, std::string_view contentType,
+               std::string_view body);
+
+/// Sends the error reply of @p code.
+void sendError(evhttp_request *request, ResultCode code, Outcome outcome, Duration retryAfter,
+               std::string_view detail = "");
+
+/// Value of the request's header @p name, or an empty string.
+[[nodiscard]] std::string headerOf(evhttp_request *request, const char *name);
+
+/// Path of the request without query.
+[[nodiscard]] std::string pathOf(evhttp_request *request);
+
+/// Value of @p name in the request's query, or an empty string.
+[[nodiscard]] std::string queryOf(evhttp_request *request, const char *name);
+
+} // namespace currantreel
+
+#endif
--- /dev/null
+++ b/currantreel/src/Shell/OperatorFront.cpp
@@ -0,0 +1,106 @@
+#include "OperatorFront.h"
+
+#include "HttpReply.h"
+#include <fmt/format.h>
+#include <iterator>
+#include <nlohmann/json.hpp>
+
+namespace currantreel {
+
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusUnavailable = 503;
+constexpr std::string_view plainText = "text/plain; charset=utf-8";
+constexpr std::string_view metricsText = "text/plain; version=0.0.4; charset=utf-8";
+
+} // namespace
+
+OperatorFront::OperatorFront(event_base *base, const HostSettings &settings, const World &world)
+    : m_settings(&settings), m_world(&world), m_server(evhttp_new(base))
+{
+    evhttp_set_allowed_methods(m_server.get(), EVHTTP_REQ_GET);
+    evhttp_set_gencb(m_server.get(), &OperatorFront::onRequest, this);
+}
+
+bool OperatorFront::listen()
+{
+    return evhttp_bind_socket(m_server.get(), m_settings->operators.ip.c_str(),
+                              m_settings->operators.port)
+           == 0;
+}
+
+void OperatorFront::onRequest(evhttp_request *request, void *self)
+{
+    static_cast<OperatorFront *>(self)->answer(request);
+}
+
+void OperatorFront::answer(evhttp_request *request)
+{
+    const std::string path = pathOf(request);
+    if (path == "/healthz")
+        sendReply(request, statusOk, plainText, "ok\n");
+    else if (path == "/readyz")
+        sendReply(request, m_world->isReady() ? statusOk : statusUnavailable, plainText,
+                  m_world->isReady() ? "ready\n" : "not ready\n");
+    else if (path == "/v1/status")
+        sendReply(request, statusOk, jsonType, statusBody());
+    else if (path == "/metrics")
+        sendReply(request, statusOk, metricsText, metricsBody());
+    else
+        sendError(request, ResultCode::RequestUnknownPath, Outcome::NotRun, {}, path);
+}
+
+std::string OperatorFront::statusBody() const
+{
+    const Configuration &configuration = m_world->configuration();
+    const Counters &counters = m_world->counters();
+    nlohmann::json status;
+    status["host"] = m_settings->name;
+    status["failure_domain"] = m_settings->failureDomain;
+    status["incarnation"] = fmt::format("{:x}", m_world->self().incarnation.value);
+    status["ready"] = m_world->isReady();
+    status["configuration"] = { { "version", configuration.version },
+                                { "digest", configuration.digest } };
+    status["requests_in_progress"] = m_world->requestsInProgress();
+    status["queued"] = m_world->owner().queued();
+    status["classes"] = nlohmann::json::array();
+    for (const ClassCounters &row : counters.classes) {
+        const RequestClass *requestClass = configuration.classes.find(row.id);
+        status["classes"].push_back({ { "name", requestClass ? requestClass->name : "(removed)" },
+                                      { "arrived", row.arrived },
+                                      { "completed", row.completed },
+                                      { "in_target", row.inTarget },
+                                      { "not_run", row.refused },
+                                      { "unknown", row.unknown },
+                                      { "abandoned", row.abandoned } });
+    }
+    status["backend_servers"] = nlohmann::json::array();
+    for (const BackendServer &server : configuration.backendServers) {
+        if (server.failureDomain != m_world->self().failureDomain)
+            continue;
+        status["backend_servers"].push_back(
+            { { "name", server.name },
+              { "slots", server.slots },
+              { "in_flight", m_world->owner().inFlight(server.id) } });
+    }
+    return status.dump();
+}
+
+std::string OperatorFront::metricsBody() const
+{
+    const Counters &counters = m_world->counters();
+    std::string text;
+    const auto line = [&text](std::string_view name, std::uint64_t value) {
+        fmt::format_to(std::back_inserter(text), "# TYPE {0} counter\n{0} {1}\n", name, value);
+    };
+    line("currantreel_attempts_total", counters.attempts);
+    line("currantreel_grants_total", counters.grants);
+    line("currantreel_retries_total", counters.retries);
+    line("currantreel_useful_tokens_total", counters.usefulTokens);
+    line("currantreel_late_tokens_total", counters.lateTokens);
+    line("currantreel_cancelled_tokens_total", counters.cancelledTokens);
+    return text;
+}
+
+} // namespace currantreel
--- /dev/null
+++ b/currantreel/src/Shell/OutgoingExchange.cpp
@@ -0,0 +1,121 @@
+#include "OutgoingExchange.h"
+
+#include <event2/http_struct.h>
+
+namespace currantreel {
+
+namespace {
+
+constexpr Duration noSilenceLimit = std::chrono::hours(24);
+
+std::string headerOf(const evkeyvalq *headers, const char *name)
+{
+    const char *value = evhttp_find_header(headers, name);
+    return value ? value : "";
+}
+
+AnswerHead headOf(evhttp_request *request)
+{
+    const evkeyvalq *headers = evhttp_request_get_input_headers(request);
+    AnswerHead head;
+    head.status = evhttp_request_get_response_code(request);
+    head.contentType = headerOf(headers, "Content-Type");
+    head.outcome = headerOf(headers, "Currantreel-Outcome");
+    head.key = headerOf(headers, "Idempotency-Key");
+    head.retryAfter = headerOf(headers, "Retry-After");
+    head.isFramed = evhttp_find_header(headers, "Content-Length") != nullptr
+                    || evhttp_find_header(headers, "Transfer-Encoding") != nullptr;
+    return head;
+}
+
+} // namespace
+
+OutgoingExchange::OutgoingExchange(event_base *base, const OutgoingRequest &request,
+                                   OutgoingCallbacks callbacks)
+    : m_callbacks(std::move(callbacks))
+{
+    m_connection.reset(evhttp_connection_base_new(base, nullptr, request.address.ip.c_str(),
+                                                  request.address.port));
+    const timeval silence =
+        toTimeval(request.silence == Duration::zero() ? noSilenceLimit : request.silence);
+    evhttp_connection_set_timeout_tv(m_connection.get(), &silence);
+    bufferevent *stream = evhttp_connection_get_bufferevent(m_connection.get());
+    evbuffer_add_cb(bufferevent_get_output(stream), &OutgoingExchange::onOutput, this);
+
+    evhttp_request *outgoing = evhttp_request_new(&OutgoingExchange::onEnd, this);
+    evhttp_request_set_header_cb(outgoing, &OutgoingExchange::onHead);
+    evhttp_request_set_chunked_cb(outgoing, &OutgoingExchange::onChunk);
+    evkeyvalq *headers = evhttp_request_get_output_headers(outgoing);
+    evhttp_add_header(headers, "Host", toText(request.address).c_str());
+    evhttp_add_header(headers, "Connection", "close");
+    for (const HttpHeader &header : request.headers)
+        evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
+    if (request.body) {
+        evbuffer_add_buffer_reference(evhttp_request_get_output_buffer(outgoing),
+                                      const_cast<evbuffer *>(request.body));
+    }
+    evhttp_make_request(m_connection.get(), outgoing, request.method, request.path.c_str());
+}
+
+OutgoingExchange::~OutgoingExchange()
+{
+    m_isEnded = true;
+    bufferevent *stream = evhttp_connection_get_bufferevent(m_connection.get());
+    evbuffer_remove_cb(bufferevent_get_output(stream), &OutgoingExchange::onOutput, this);
+}
+
+void OutgoingExchange::setReading(bool isOn)
+{
+    if (m_isEnded)
+        return;
+    bufferevent *stream = evhttp_connection_get_bufferevent(m_connection.get());
+    if (isOn)
+        bufferevent_enable(stream, EV_READ);
+    else
+        bufferevent_disable(stream, EV_READ);
+}
+
+void OutgoingExchange::onOutput(evbuffer * /*buffer*/, const evbuffer_cb_info *info, void *self)
+{
+    if (info->n_deleted > 0)
+        static_cast<OutgoingExchange *>(self)->m_wasWritten = true;
+}
+
+int OutgoingExchange::onHead(evhttp_request *request, void *self)
+{
+    auto *exchange = static_cast<OutgoingExchange *>(self);
+    exchange->m_hasHead = true;
+    exchange->m_callbacks.onHead(headOf(request));
+    return 0;
+}
+
+void OutgoingExchange::onChunk(evhttp_request *request, void *self)
+{
+    auto *exchange = static_cast<OutgoingExchange *>(self);
+    exchange->m_callbacks.onBody(evhttp_request_get_input_buffer(request));
+}
+
+void OutgoingExchange::onEnd(evhttp_request *request, void *self)
+{
+    auto *exchange = static_cast<OutgoingExchange *>(self);
+    if (exchange->m_isEnded)
+        return;
+    const bool isWhole = request && exchange->m_hasHead;
+    if (!isWhole) {
+        exchange->fail();
+        return;
+    }
+    evbuffer *rest = evhttp_request_get_input_buffer(request);
+    if (evbuffer_get_length(rest) > 0)
+        exchange->m_callbacks.onBody(rest);
+    exchange->m_isEnded = true;
+    exchange->m_callbacks.onDone();
+}
+
+void OutgoingExchange::fail()
+{
+    m_isEnded = true;
+    m_callbacks.onFailed(m_wasWritten);
+}
+
+} // namespace currantreel
--- /dev/null
+++ b/currantreel/src/World/Effect.h
@@ -0,0 +1,139 @@
+#ifndef CURRANTREEL_WORLD_EFFECT_H
+#define CURRANTREEL_WORLD_EFFECT_H
+
+#include "../Core/Id.h"
+#include "../Core/Outcome.h"
+#include "../Core/ResultCode.h"
+#include "../Core/Time.h"
+#include "../Keys/IdempotencyKey.h"
+#include "../Keys/KeyTable.h"
+#include "../Settings/Address.h"
+#include "PeerMessage.h"
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace currantreel {
+
+/// Send the request to a backend server.
+struct StartAttempt
+{
+    AttemptId attempt;
+    RequestId request;
+    BackendServerId server;
+    Address address;
+    Tier tier = 0; ///< Priority to tell the engine.
+};
+
+/// Stop an attempt and close its connection.
+struct CancelAttempt
+{
+    AttemptId attempt;
+};
+
+/// Pass the attempt's answer on to the caller from now on.
+struct RelayAttempt
+{
+    RequestId request;
+    AttemptId attempt;
+};
+
+/// The answer is whole: end the reply.
+struct FinishReply
+{
+    RequestId request;
+};
+
+/// Answer with a numbered error; in a stream that has begun, as its last event.
+struct RefuseRequest
+{
+    RequestId request;
+    ResultCode code = ResultCode::RequestMalformed;
+    Outcome outcome = Outcome::NotRun;
+    Duration retryAfter{}; ///< Zero: no advice.
+};
+
+/// Pass the whole exchange on to another host.
+struct ForwardRequest
+{
+    RequestId request;
+    HostId host;
+    Address address;
+};
+
+/// A key was made; give it to the caller.
+struct KeyIssued
+{
+    RequestId request;
+    std::string key;
+};
+
+/// A key was made for a request that came without one; name it in the reply's header.
+struct KeyAssigned
+{
+    RequestId request;
+    std::string key;
+};
+
+/// Answer a question about a key.
+struct KeyStateTold
+{
+    RequestId request;
+    KeyState state = KeyState::Unknown;
+};
+
+/// Keep the request's answer, which has just been received whole, under the key.
+struct KeepAnswer
+{
+    RequestId request;
+    KeyId key;
+};
+
+/// Answer with what is kept under the key.
+struct ReplayAnswer
+{
+    RequestId request;
+    KeyId key;
+};
+
+/// Forget what is kept under the key.
+struct DropAnswer
+{
+    KeyId key;
+};
+
+/// The exchange is over and needs no reply.
+struct CloseExchange
+{
+    RequestId request;
+};
+
+/// Send a message to another host.
+struct SendPeer
+{
+    HostId to;
+    PeerMessage message;
+};
+
+/// A configuration came into force.
+struct ConfigurationInForce
+{
+    std::uint64_t version = 0;
+};
+
+/// Every request in progress has ended after StopOrdered; the process may exit.
+struct StopCompleted
+{
+};
+
+/// Everything that a host does.
+using Effect =
+    std::variant<StartAttempt, CancelAttempt, RelayAttempt, FinishReply, RefuseRequest,
+                 ForwardRequest, KeyIssued, KeyAssigned, KeyStateTold, KeepAnswer, ReplayAnswer,
+                 DropAnswer, CloseExchange, SendPeer, ConfigurationInForce, StopCompleted>;
+
+using EffectList = std::vector<Effect>;
+
+} // namespace currantreel
+
+#endif
--- /dev/null
+++ b/currantreel/src/World/EntrySystem.h
@@ -0,0 +1,101 @@
+#ifndef CURRANTREEL_WORLD_ENTRYSYSTEM_H
+#define CURRANTREEL_WORLD_ENTRYSYSTEM_H
+
+#include "Counters.h"
+#include "Event.h"
+#include "KeySystem.h"
+#include "StepContext.h"
+
+namespace currantreel {
+
+/// Entry role: follows each caller's request from arrival to its end.
+class EntrySystem
+{
+public:
+    /// @param incarnation makes identifiers unique across restarts of the host.
+    explicit EntrySystem(Incarnation incarnation);
+
+    void onArrived(StepContext &context, Counters &counters, KeySystem &keys,
+                   const RequestArrived &event);
+    void onCallerLeft(StepContext &context, Counters &counters, KeySystem &keys,
+                      const CallerLeft &event);
+    void onGranted(StepContext &context, Counters &counters, const Granted &message);
+    void onShed(StepContext &context, Counters &counters, KeySystem &keys,
+                const GrantShed &message);
+    void onHead(StepContext &context, Counters &counters, KeySystem &keys,
+                const AttemptHead &event);
+    void onTokens(StepContext &context, const AttemptTokens &event);
+    void onDone(StepContext &context, Counters &counters, KeySystem &keys,
+                const AttemptDone &event);
+    void onFailed(StepContext &context, Counters &counters, KeySystem &keys,
+                  const AttemptFailed &event);
+    void onForwardEnded(StepContext &context, RequestId request, bool isRelayed);
+
+    /// Renews leases and ends attempts that make no progress.
+    void run(StepContext &context, Counters &counters, KeySystem &keys);
+
+    /// Requests in progress.
+    [[nodiscard]] std::size_t size() const { return m_requests.size(); }
+
+private:
+    enum class State : std::uint8_t { Waiting, Running, Forwarded, Joined };
+
+    struct RequestRow
+    {
+        RequestId id;
+        State state = State::Waiting;
+        ClassId requestClass;
+        WorkspaceId workspace;
+        TargetId target;
+        TimePoint arrivedAt;
+        TimePoint firstTokenBy;
+        TimePoint answerBy;
+        std::uint32_t promptTokens = 0;
+        std::uint64_t prefixHash = 0;
+        KeyId key;
+        AttemptId attempt; ///< The running attempt.
+        int attempts = 0;
+        bool isFirstTokenLate = false;
+        bool hasCaller = true;
+    };
+
+    struct AttemptRow
+    {
+        AttemptId id;
+        RequestId request;
+        GrantId grant;
+        LeaseId lease;
+        BackendServerId server;
+        HostId owner;
+        Tier tier = 0;
+        TimePoint startedAt;
+        TimePoint lastProgressAt;
+        TimePoint firstTokenAt;
+        std::uint32_t tokens = 0;
+        bool isRelayed = false;
+    };
+
+    bool resolve(StepContext &context, const RequestArrived &event, RequestRow &row);
+    bool applyKey(StepContext &context, KeySystem &keys, const RequestArrived &event,
+                  RequestRow &row);
+    void askForGrant(StepContext &context, const RequestRow &row, BackendServerId avoid);
+    void release(StepContext &context, const AttemptRow &attempt, LeaseEnd end);
+    void retryOrRefuse(StepContext &context, Counters &counters, KeySystem &keys,
+                       const AttemptRow &attempt, ResultCode code, Outcome outcome);
+    void refuse(StepContext &context, Counters &counters, KeySystem &keys, RequestRow row,
+                ResultCode code, Outcome outcome, Duration retryAfter);
+    void countEnd(Counters &counters, const RequestRow &row, const AttemptRow &attempt,
+                  TimePoint now);
+    void endStalledAttempts(StepContext &context, Counters &counters, KeySystem &keys);
+    void renewLeases(StepContext &context);
+    static ClassCounters &countersOf(Counters &counters, ClassId id);
+
+    Table<RequestRow> m_requests;
+    Table<AttemptRow> m_attempts;
+    std::uint64_t m_nextAttempt;
+    TimePoint m_renewedAt;
+};
+
+} // namespace currantreel
+
+#endif
--- /dev/null
+++ b/currantreel/src/World/KeySystem.cpp
@@ -0,0 +1,145 @@
+#include "KeySystem.h"
+
+#include "Timing.h"
+
+namespace currantreel {
+
+namespace {
+
+KeyDecision refusal(ResultCode code, Outcome outcome)
+{
+    return KeyDecision{ KeyDecision::Action::Refuse, KeyId(), HostEntry(), code, outcome };
+}
+
+KeyDecision decisionOf(KeyClaim claim, KeyId key)
+{
+    using Action = KeyDecision::Action;
+    switch (claim) {
+    case KeyClaim::Run:
+        return KeyDecision{ Action::Run, key, {}, {}, {} };
+    case KeyClaim::Join:
+        return KeyDecision{ Action::Wait, key, {}, {}, {} };
+    case KeyClaim::Replay:
+        return KeyDecision{ Action::Replay, key, {}, {}, {} };
+    case KeyClaim::Burnt:
+        return refusal(ResultCode::KeyBurnt, Outcome::NotRun);
+    case KeyClaim::Mismatch:
+        return refusal(ResultCode::KeyMismatch, Outcome::NotRun);
+    case KeyClaim::Full:
+        return refusal(ResultCode::KeyTableFull, Outcome::NotRun);
+    case KeyClaim::Expired:
+        return refusal(ResultCode::KeyExpired, Outcome::Unknown);
+    case KeyClaim::Unknown:
+        break;
+    }
+    return refusal(ResultCode::KeyRunUnknown, Outcome::Unknown);
+}
+
+} // namespace
+
+KeySystem::KeySystem(const HostIdentity &self, const KeySecret &secret)
+    : m_self(self), m_codec(secret), m_table(timing::keyCapacity)
+{
+}
+
+void KeySystem::updateHosts(const std::vector<HostEntry> &hosts)
+{
+    for (const HostEntry &host : hosts)
+        m_hosts.insert(host);
+}
+
+std::string KeySystem::issue(const StepContext &context, KeyId *id)
+{
+    const KeyId key{ m_nextKey++ };
+    if (id)
+        *id = key;
+    return m_codec.encode(
+        IdempotencyKey{ m_self.id, m_self.incarnation, key, context.now + timing::keyValidity });
+}
+
+const HostEntry *KeySystem::issuerOf(const IdempotencyKey &key) const
+{
+    return m_hosts.find(key.issuer);
+}
+
+KeyDecision KeySystem::claimOwn(const StepContext &context, const IdempotencyKey &key,
+                                const RequestArrived &request)
+{
+    return decisionOf(m_table.claim(key, request.request, request.bodyHash, context.now), key.id);
+}
+
+KeyDecision KeySystem::claimForeign(const IdempotencyKey &key, bool isForwarded) const
+{
+    // An earlier incarnation may have run the request, and nobody else can know.
+    if (key.issuer == m_self.id)
+        return refusal(ResultCode::KeyRunUnknown, Outcome::Unknown);
+    if (isForwarded)
+        return refusal(ResultCode::KeyIssuerUnreachable, Outcome::Unknown);
+    const HostEntry *issuer = issuerOf(key);
+    if (!issuer)
+        return refusal(ResultCode::KeyIssuerUnreachable, Outcome::Unknown);
+    return KeyDecision{ KeyDecision::Action::Forward, key.id, *issuer, {}, {} };
+}
+
+KeyDecision KeySystem::claim(const StepContext &context, const std::string &text,
+                             const RequestArrived &request)
+{
+    const auto key = KeyCodec::decode(text);
+    if (!key)
+        return refusal(ResultCode::KeyMalformed, Outcome::NotRun);
+    if (key->issuer != m_self.id || key->incarnation != m_self.incarnation)
+        return claimForeign(*key, request.isForwarded);
+    if (!m_codec.isGenuine(text))
+        return refusal(ResultCode::KeyNotIssuedHere, Outcome::NotRun);
+    return claimOwn(context, *key, request);
+}
+
+void KeySystem::onStateAsked(StepContext &context, const KeyStateAsked &event)
+{
+    const auto key = KeyCodec::decode(event.key);
+    if (!key) {
+        context.emit(
+            RefuseRequest{ event.request, ResultCode::KeyMalformed, Outcome::Unknown, {} });
+        return;
+    }
+    if (key->issuer != m_self.id || key->incarnation != m_self.incarnation) {
+        const KeyDecision decision = claimForeign(*key, event.isForwarded);
+        if (decision.action == KeyDecision::Action::Forward)
+            context.emit(
+                ForwardRequest{ event.request, decision.issuer.id, decision.issuer.callers });
+        else
+            context.emit(KeyStateTold{ event.request, KeyState::Unknown });
+        return;
+    }
+    if (!m_codec.isGenuine(event.key)) {
+        context.emit(
+            RefuseRequest{ event.request, ResultCode::KeyNotIssuedHere, Outcome::Unknown, {} });
+        return;
+    }
+    const auto state = m_table.askState(*key, context.now);
+    context.emit(KeyStateTold{ event.request, state.value_or(KeyState::Unknown) });
+}
+
+void KeySystem::finish(StepContext &context, KeyId key, RequestId runner, Outcome outcome)
+{
+    if (!key.isValid())
+        return;
+    if (outcome == Outcome::Completed)
+        context.emit(KeepAnswer{ runner, key });
+    for (const RequestId joined : m_table.finish(key, outcome)) {
+        if (outcome == Outcome::Completed)
+            context.emit(ReplayAnswer{ joined, key });
+        else if (outcome == Outcome::NotRun)
+            context.emit(RefuseRequest{ joined, ResultCode::KeyBurnt, outcome, {} });
+        else
+            context.emit(RefuseRequest{ joined, ResultCode::KeyRunUnknown, outcome, {} });
+    }
+}
+
+void KeySystem::run(StepContext &context)
+{
+    for (const KeyId key : m_table.expire(context.now))
+        context.emit(DropAnswer{ key });
+}
+
+} // namespace currantreel
--- /dev/null
+++ b/currantreel/src/World/KeySystem.h
@@ -0,0 +1,75 @@
+#ifndef CURRANTREEL_WORLD_KEYSYSTEM_H
+#define CURRANTREEL_WORLD_KEYSYSTEM_H
+
+#include "../Keys/KeyCodec.h"
+#include "../Keys/KeyTable.h"
+#include "Event.h"
+#include "StepContext.h"
+#include <optional>
+#include <string>
+
+namespace currantreel {
+
+/// What to do with a request that carries a key.
+struct KeyDecision
+{
+    enum class Action : std::uint8_t {
+        Run, ///< Execute under `key`.
+        Wait, ///< Joined a running one under `key`; its end answers this request too.
+        Replay, ///< Answer with what is kept under `key`.
+        Forward, ///< Pass on to `issuer`.
+        Refuse, ///< Refuse with `code` and `outcome`.
+    };
+    Action action = Action::Refuse;
+    KeyId key;
+    HostEntry issuer;
+    ResultCode code = ResultCode::KeyMalformed;
+    Outcome outcome = Outcome::NotRun;
+};
+
+/// Issues idempotency keys and decides what a request under a key has to do.
+class KeySystem
+{
+public:
+    KeySystem(const HostIdentity &self, const KeySecret &secret);
+
+    /// Takes the platform's list, to find the issuers of keys.
+    void updateHosts(const std::vector<HostEntry> &hosts);
+
+    /// Makes a key.
+    std::string issue(const StepContext &context, KeyId *id = nullptr);
+
+    /// Decides on a request with key @p text.
+    KeyDecision claim(const StepContext &context, const std::string &text,
+                      const RequestArrived &request);
+
+    /// Answers a question about a key, or forwards it.
+    void onStateAsked(StepContext &context, const KeyStateAsked &event);
+
+    /// Ends the run under @p key by @p runner and answers those who joined it.
+    void finish(StepContext &context, KeyId key, RequestId runner, Outcome outcome);
+
+    /// Forgets a joined request whose caller left.
+    void leave(KeyId key, RequestId request) { m_table.leave(key, request); }
+
+    /// Drops expired keys.
+    void run(StepContext &context);
+
+    [[nodiscard]] std::size_t size() const { return m_table.size(); }
+
+private:
+    [[nodiscard]] const HostEntry *issuerOf(const IdempotencyKey &key) const;
+    [[nodiscard]] KeyDecision claimOwn(const StepContext &context, const IdempotencyKey &key,
+                                       const RequestArrived &request);
+    [[nodiscard]] KeyDecision claimForeign(const IdempotencyKey &key, bool isForwarded) const;
+
+    HostIdentity m_self;
+    KeyCodec m_codec;
+    KeyTable m_table;
+    Table<HostEntry> m_hosts;
+    std::uint64_t m_nextKey = 1;
+};
+
+} // namespace currantreel
+
+#endif
--- /dev/null
+++ b/currantreel/src/World/OwnerSystem.cpp
@@ -0,0 +1,221 @@
+#include "OwnerSystem.h"
+
+#include "Timing.h"
+#include <algorithm>
+
+namespace currantreel {
+
+namespace {
+
+constexpr std::uint64_t serviceTargetSalt = 0x5EBF1CE5ULL;
+
+std::vector<TargetId> targetsOf(const BackendServer &server)
+{
+    if (server.kind == BackendKind::Service)
+        return { targetOfService(server.service) };
+    std::vector<TargetId> targets;
+    for (const ModelId model : server.models)
+        targets.push_back(targetOfModel(model));
+    return targets;
+}
+
+} // namespace
+
+TargetId targetOfModel(ModelId model)
+{
+    return TargetId{ model.value };
+}
+
+TargetId targetOfService(ServiceId service)
+{
+    return TargetId{ service.value ^ serviceTargetSalt };
+}
+
+template <GrantQueue Queue>
+void OwnerSystem<Queue>::configure(const StepContext &context)
+{
+    const Configuration &configuration = *context.configuration;
+    m_servers.removeIf(
+        [&](const ServerRow &row) { return !configuration.backendServers.find(row.id); });
+    for (const BackendServer &server : configuration.backendServers) {
+        if (server.failureDomain != context.self.failureDomain)
+            continue;
+        ServerRow *known = m_servers.find(server.id);
+        ServerRow &row =
+            known ? *known : m_servers.insert(ServerRow{ server.id, {}, 0, 0, false, {} });
+        row.targets = targetsOf(server);
+        row.slots = server.slots;
+        row.isLeaving = m_leaving.contains(server.id);
+    }
+}
+
+template <GrantQueue Queue>
+void OwnerSystem<Queue>::updateLiveness(const std::vector<BackendServerEntry> &entries)
+{
+    m_leaving.clear();
+    for (const BackendServerEntry &entry : entries) {
+        if (entry.liveness == Liveness::Leaving)
+            m_leaving.insert(entry.id);
+    }
+    for (ServerRow &row : m_servers)
+        row.isLeaving = m_leaving.contains(row.id);
+}
+
+template <GrantQueue Queue>
+Queue &OwnerSystem<Queue>::queueOf(const StepContext &context, TargetId target)
+{
+    return m_queues.try_emplace(target, context.configuration->floorPermille).first->second;
+}
+
+template <GrantQueue Queue>
+bool OwnerSystem<Queue>::hasServer(TargetId target) const
+{
+    return std::any_of(m_servers.begin(), m_servers.end(), [target](const ServerRow &row) {
+        return !row.isLeaving
+               && std::find(row.targets.begin(), row.targets.end(), target) != row.targets.end();
+    });
+}
+
+template <GrantQueue Queue>
+void OwnerSystem<Queue>::onRequest(StepContext &context, Counters &counters,
+                                   const GrantRequest &request)
+{
+    const TimePoint now = context.now;
+    QueuedGrant grant{ request, now, now + request.firstTokenIn, now + request.answerIn,
+                       now + request.queueBound };
+    if (!hasServer(request.target)) {
+        shed(context, counters, grant, ResultCode::NoBackendServer);
+        return;
+    }
+    Queue &queue = queueOf(context, request.target);
+    if (queue.size() >= timing::queueCapacity) {
+        const auto victim = queue.popVictim(request.tier);
+        shed(context, counters, victim ? *victim : grant, ResultCode::QueueFull);
+        if (!victim)
+            return;
+    }
+    queue.push(std::move(grant));
+}
+
+template <GrantQueue Queue>
+void OwnerSystem<Queue>::onWithdrawn(const GrantWithdrawn &message)
+{
+    for (auto &[target, queue] : m_queues) {
+        if (queue.remove(message.id))
+            return;
+    }
+}
+
+template <GrantQueue Queue>
+void OwnerSystem<Queue>::onReleased(const LeaseReleased &message)
+{
+    endLease(message.lease);
+}
+
+template <GrantQueue Queue>
+void OwnerSystem<Queue>::onRenewal(const StepContext &context, const LeaseRenewal &message)
+{
+    for (const LeaseRenewal::Item &item : message.items) {
+        if (LeaseRow *lease = m_leases.find(item.lease))
+            lease->expires = context.now + timing::leasePeriod;
+    }
+}
+
+template <GrantQueue Queue>
+void OwnerSystem<Queue>::endLease(LeaseId lease)
+{
+    const LeaseRow *row = m_leases.find(lease);
+    if (!row)
+        return;
+    ServerRow *server = m_servers.find(row->server);
+    if (server && server->inFlight > 0)
+        --server->inFlight;
+    m_leases.remove(lease);
+}
+
+template <GrantQueue Queue>
+void OwnerSystem<Queue>::expireLeases(TimePoint now)
+{
+    std::vector<LeaseId> expired;
+    for (const LeaseRow &row : m_leases) {
+        if (row.expires <= now)
+            expired.push_back(row.id);
+    }
+    for (const LeaseId lease : expired)
+        endLease(lease);
+}
+
+template <GrantQueue Queue>
+typename OwnerSystem<Queue>::ServerRow *OwnerSystem<Queue>::freeServer(const StepContext &context,
+                                                                       TargetId target)
+{
+    ServerRow *best = nullptr;
+    for (ServerRow &row : m_servers) {
+        const bool canServe =
+            std::find(row.targets.begin(), row.targets.end(), target) != row.targets.end();
+        const bool isFree =
+            !row.isLeaving && row.inFlight < row.slots && row.refusedUntil <= context.now;
+        if (!canServe || !isFree)
+            continue;
+        if (!best || row.inFlight * best->slots < best->inFlight * row.slots)
+            best = &row;
+    }
+    return best;
+}
+
+template <GrantQueue Queue>
+void OwnerSystem<Queue>::grant(StepContext &context, Counters &counters, const QueuedGrant &grant,
+                               ServerRow &server)
+{
+    const LeaseId lease{ m_nextLease++ };
+    ++server.inFlight;
+    ++counters.grants;
+    const GrantId id = grant.request.id;
+    m_leases.insert(LeaseRow{ lease, id, server.id, context.now + timing::leasePeriod });
+    context.send(id.entry, Granted{ id, lease, server.id, timing::leasePeriod });
+}
+
+template <GrantQueue Queue>
+void OwnerSystem<Queue>::shed(StepContext &context, Counters &counters, const QueuedGrant &grant,
+                              ResultCode code)
+{
+    ++counters.shed[grant.request.tier];
+    const GrantId id = grant.request.id;
+    context.send(id.entry, GrantShed{ id, code, timing::shedRetryAfter });
+}
+
+template <GrantQueue Queue>
+void OwnerSystem<Queue>::run(StepContext &context, Counters &counters)
+{
+    expireLeases(context.now);
+    for (auto &[target, queue] : m_queues) {
+        while (const auto late = queue.popExpired(context.now))
+            shed(context, counters, *late, ResultCode::TargetUnreachable);
+        while (queue.size() > 0) {
+            ServerRow *server = freeServer(context, target);
+            if (!server)
+                break;
+            grant(context, counters, *queue.pop(context.now), *server);
+        }
+    }
+}
+
+template <GrantQueue Queue>
+std::size_t OwnerSystem<Queue>::queued() const
+{
+    std::size_t total = 0;
+    for (const auto &[target, queue] : m_queues)
+        total += queue.size();
+    return total;
+}
+
+template <GrantQueue Queue>
+std::uint32_t OwnerSystem<Queue>::inFlight(BackendServerId server) const
+{
+    const ServerRow *row = m_servers.find(server);
+    return row ? row->inFlight : 0;
+}
+
+template class OwnerSystem<TieredQueue>;
+
+} // namespace currantreel
--- /dev/null
+++ b/currantreel/src/World/PeerMessage.h
@@ -0,0 +1,15 @@
+#ifndef CURRANTREEL_WORLD_PEERMESSAGE_H
+#define CURRANTREEL_WORLD_PEERMESSAGE_H
+
+#include "../Admission/GrantMessages.h"
+#include <variant>
+
+namespace currantreel {
+
+/// Everything that hosts say to each other, and that a host says to itself in another role.
+using PeerMessage =
+    std::variant<GrantRequest, Granted, GrantShed, GrantWithdrawn, LeaseReleased, LeaseRenewal>;
+
+} // namespace currantreel
+
+#endif
--- /dev/null
+++ b/currantreel/src/World/StepContext.h
@@ -0,0 +1,54 @@
+#ifndef CURRANTREEL_WORLD_STEPCONTEXT_H
+#define CURRANTREEL_WORLD_STEPCONTEXT_H
+
+#include "../Configuration/Configuration.h"
+#include "Effect.h"
+#include <deque>
+#include <memory>
+#include <string>
+
+namespace currantreel {
+
+/// Who this host is.
+struct HostIdentity
+{
+    HostId id;
+    std::string name;
+    FailureDomainId failureDomain;
+    Incarnation incarnation;
+};
+
+/// A message on its way from this host in one role to a host in another.
+struct OutgoingMessage
+{
+    HostId to;
+    PeerMessage message;
+};
+
+/// What the systems share during one step.
+struct StepContext
+{
+    HostIdentity self;
+    TimePoint now;
+    std::shared_ptr<const Configuration> configuration = std::make_shared<Configuration>();
+    EffectList effects;
+    std::deque<OutgoingMessage> outbox;
+
+    /// Adds an effect.
+    template <typename T>
+    void emit(T effect)
+    {
+        effects.emplace_back(std::move(effect));
+    }
+
+    /// Sends @p message to @p to, which may be this host.
+    template <typename T>
+    void send(HostId to, T message)
+    {
+        outbox.push_back(OutgoingMessage{ to, PeerMessage(std::move(message)) });
+    }
+};
+
+} // namespace currantreel
+
+#endif
--- /dev/null
+++ b/currantreel/src/World/World.h
@@ -0,0 +1,84 @@
+#ifndef CURRANTREEL_WORLD_WORLD_H
+#define CURRANTREEL_WORLD_WORLD_H
+
+#include "Counters.h"
+#include "Effect.h"
+#include "EntrySystem.h"
+#include "Event.h"
+#include "KeySystem.h"
+#include "OwnerSystem.h"
+#include "StepContext.h"
+#include <span>
+
+namespace currantreel {
+
+/// The state of one host and everything it decides. Pure: no socket, no clock; the same events at the
+/// same times give the same effects.
+/// @tparam Queue decides who is granted next.
+template <GrantQueue Queue>
+class BasicWorld
+{
+public:
+    BasicWorld(HostIdentity self, const KeySecret &secret);
+
+    /// Takes @p events in order, runs every system once, and returns what is to be done. The effects
+    /// stay valid until the next step.
+    const EffectList &step(TimePoint now, std::span<const Event> events);
+
+    [[nodiscard]] const HostIdentity &self() const { return m_context.self; }
+    [[nodiscard]] const Configuration &configuration() const { return *m_context.configuration; }
+    [[nodiscard]] const Counters &counters() const { return m_counters; }
+    [[nodiscard]] const OwnerSystem<Queue> &owner() const { return m_owner; }
+    [[nodiscard]] std::size_t requestsInProgress() const { return m_entry.size(); }
+    [[nodiscard]] std::size_t keysInUse() const { return m_keys.size(); }
+    [[nodiscard]] bool isStopping() const { return m_isStopping; }
+    /// True once callers may be sent here: configuration and host list are known, no stop is under way.
+    [[nodiscard]] bool isReady() const
+    {
+        return m_context.configuration->version > 0 && m_hasHostList && !m_isStopping;
+    }
+
+private:
+    void apply(const RequestArrived &event);
+    void apply(const KeyRequested &event);
+    void apply(const KeyStateAsked &event);
+    void apply(const CallerLeft &event);
+    void apply(const AttemptHead &event);
+    void apply(const AttemptTokens &event);
+    void apply(const AttemptDone &event);
+    void apply(const AttemptFailed &event);
+    void apply(const ForwardFailed &event);
+    void apply(const ForwardDone &event);
+    void apply(const ConfigurationRead &event);
+    void apply(const HostListRead &event);
+    void apply(const PeerMessageReceived &event);
+    void apply(const StopOrdered &event);
+
+    void receive(const GrantRequest &message);
+    void receive(const Granted &message);
+    void receive(const GrantShed &message);
+    void receive(const GrantWithdrawn &message);
+    void receive(const LeaseReleased &message);
+    void receive(const LeaseRenewal &message);
+
+    void deliver();
+    void reportStop();
+
+    StepContext m_context;
+    Counters m_counters;
+    EntrySystem m_entry;
+    OwnerSystem<Queue> m_owner;
+    KeySystem m_keys;
+    bool m_hasHostList = false;
+    bool m_isStopping = false;
+    bool m_isStopReported = false;
+};
+
+extern template class BasicWorld<TieredQueue>;
+
+/// The world as the daemon runs it.
+using World = BasicWorld<TieredQueue>;
+
+} // namespace currantreel
+
+#endif
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,97 @@
+#!/usr/bin/env bash
+# The main job: three failure domains of the mill on loopback, real requests through real processes.
+# Exits 0 only if every answer was right.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+[ "${DEMO_SKIP_SETUP:-}" = 1 ] || scripts/setup.sh > /dev/null
+bin=$PWD/build
+work=$(mktemp -d)
+net=127.$((RANDOM % 200 + 20)).$((RANDOM % 250 + 2))
+pids=()
+failures=0
+
+finish() {
+    for pid in "${pids[@]}"; do kill -TERM "$pid" 2> /dev/null || true; done
+    for pid in "${pids[@]}"; do wait "$pid" 2> /dev/null || true; done
+    rm -rf "$work"
+}
+trap finish EXIT
+
+start() {
+    local log=$1
+    shift
+    "$@" > "$work/$log.log" 2>&1 &
+    pids+=($!)
+}
+
+expect() { # expect NAME TEXT: the file $work/NAME holds TEXT
+    if grep -q -- "$2" "$work/$1"; then
+        printf 'ok      %-16s %s\n' "$1" "$2"
+    else
+        printf 'WRONG   %-16s lacks: %s\n' "$1" "$2"
+        head -c 600 "$work/$1"; echo
+        failures=$((failures + 1))
+    fi
+}
+
+wait_until() { # wait_until COMMAND...: up to 10 s
+    for _ in $(seq 100); do
+        "$@" > /dev/null 2>&1 && return 0
+        sleep 0.1
+    done
+    echo "timed out: $*"
+    cat "$work"/*.log
+    return 1
+}
+
+for file in configuration.toml hosts.json host-edirne-a-1.toml host-edirne-b-1.toml host-uzunkopru-1.toml; do
+    sed "s/127\.0\.1\./$net./; s/127\.0\.0\.1/$net.100/" "examples/karacay-mill/$file" > "$work/$file"
+done
+# hosts.json has two addresses a line.
+sed -i "s/127\.0\.1\./$net./g" "$work/hosts.json"
+"$bin/currantreel" config init "$work" "$work/configuration.toml"
+
+start platform "$bin/standin-platform" --listen "$net.100:9000" --directory "$work"
+for domain in 1 2 3; do
+    start "engine-$domain" "$bin/standin-engine" --listen "$net.$domain:9101" --name "engine-$domain" --token_us 5000
+    start "payment-$domain" "$bin/standin-service" --listen "$net.$domain:9201" --name "payment-$domain"
+done
+for host in edirne-a-1 edirne-b-1 uzunkopru-1; do
+    "$bin/currantreel" check-settings "$work/host-$host.toml" > /dev/null
+    start "$host" "$bin/currantreeld" --settings "$work/host-$host.toml"
+done
+for domain in 1 2 3; do wait_until curl -sf "http://$net.$domain:8081/readyz"; done
+
+chat() { # chat HOST OUTPUT CLASS STREAM TOKENS
+    curl -sS -m 20 "http://$net.$1:8080/v1/chat/completions" -o "$work/$2" \
+        -H "Currantreel-Workspace: gate-edirne" -H "Currantreel-Class: $3" \
+        -d "{\"model\":\"paddy-8b\",\"stream\":$4,\"max_tokens\":$5,\"messages\":[{\"role\":\"user\",\"content\":\"Which gate?\"}]}"
+}
+chat 1 gate-question gate-question true 12
+expect gate-question 't11 '
+expect gate-question 'data: \[DONE\]'
+chat 3 summary lot-summary false 40
+expect summary 't39 '
+expect summary '"completion_tokens":40'
+
+key=$(curl -sS -X POST "http://$net.1:8080/v1/idempotency-keys" | sed 's/.*"key":"\([^"]*\)".*/\1/')
+pay() { # pay HOST OUTPUT
+    curl -sS -m 20 "http://$net.$1:8080/v1/services/payment/entries" -o "$work/$2" \
+        -H "Currantreel-Workspace: gate-edirne" -H "Currantreel-Class: payment-entry" \
+        -H "Idempotency-Key: $key" -d '{"ticket":4711,"kilograms":21840}'
+}
+pay 1 payment-first
+pay 2 payment-second
+expect payment-first '"runs_of_key":1'
+expect payment-second '"runs_of_key":1'
+cmp -s "$work/payment-first" "$work/payment-second" || { echo "WRONG   the two payment answers differ"; failures=$((failures + 1)); }
+for domain in 1 2 3; do curl -sS "http://$net.$domain:9201/control/runs"; echo; done > "$work/payment-runs"
+expect payment-runs "\"$key\":1"
+[ "$(grep -c "$key" "$work/payment-runs")" = 1 ] || { echo "WRONG   more than one service ran the payment"; failures=$((failures + 1)); }
+curl -sS "http://$net.3:8080/v1/idempotency-keys/$key" > "$work/payment-state"
+expect payment-state '"state":"completed"'
+
+"$bin/currantreel" status "$net.1:8081" "$net.2:8081" "$net.3:8081" | tee "$work/status"
+expect status 'edirne-a-1'
+[ "$failures" = 0 ] || { echo "$failures wrong"; exit 1; }
+echo "demo: all answers right"
--- /dev/null
+++ b/test/SettingsTest.cpp
@@ -0,0 +1,89 @@
+#include <algorithm>
+#include <currantreel/Configuration>
+#include <currantreel/Settings>
+#include <doctest/doctest.h>
+
+using namespace currantreel;
+
+namespace {
+
+bool hasFault(const FaultList &faults, ResultCode code, const std::string &key, int line)
+{
+    return std::any_of(faults.begin(), faults.end(), [&](const Fault &fault) {
+        return fault.code == code && fault.key == key && fault.line == line;
+    });
+}
+
+} // namespace
+
+TEST_CASE("every fault of a settings file is reported with its line")
+{
+    const auto parsed = parseHostSettings(R"([host]
+name = 5
+failure_domain = "a"
+[listen]
+callers = "somewhere:80"
+operators = "127.0.0.1:1"
+peers = "127.0.0.1:2"
+colour = "red"
+[platform]
+addresses = ["127.0.0.1:3"]
+watch_ms = 1
+[cluster]
+)",
+                                          "f.toml");
+    REQUIRE(std::holds_alternative<FaultList>(parsed));
+    const FaultList &faults = std::get<FaultList>(parsed);
+    CHECK(faults.size() == 5);
+    CHECK(hasFault(faults, ResultCode::SettingsWrongType, "host.name", 2));
+    CHECK(hasFault(faults, ResultCode::SettingsBadAddress, "listen.callers", 5));
+    CHECK(hasFault(faults, ResultCode::SettingsUnknownKey, "listen.colour", 8));
+    CHECK(hasFault(faults, ResultCode::SettingsOutOfRange, "platform.watch_ms", 11));
+    CHECK(hasFault(faults, ResultCode::SettingsMissingKey, "cluster.secret", 12));
+}
+
+TEST_CASE("a syntax error names its line")
+{
+    const auto parsed = parseHostSettings("[host]\nname = \n", "f.toml");
+    REQUIRE(std::holds_alternative<FaultList>(parsed));
+    CHECK(std::get<FaultList>(parsed).front().code == ResultCode::SettingsSyntax);
+    CHECK(std::get<FaultList>(parsed).front().line == 2);
+}
+
+TEST_CASE("the example settings and configurations are all right")
+{
+    const std::string example = std::string(SOURCE_DIR) + "/examples/karacay-mill/host-";
+    for (const char *host : { "edirne-a-1", "edirne-b-1", "uzunkopru-1" }) {
+        const auto loaded = loadHostSettings(example + host + ".toml");
+        CHECK(std::holds_alternative<HostSettings>(loaded));
+    }
+}
+
+TEST_CASE("a configuration names unknown references and duplicates")
+{
+    const auto parsed = parseConfiguration(R"(schema = 1
+[[workspace]]
+name = "w"
+default_class = "none"
+[[model]]
+name = "m"
+[[model]]
+name = "m"
+)",
+                                           "c.toml");
+    REQUIRE(std::holds_alternative<FaultList>(parsed));
+    const FaultList &faults = std::get<FaultList>(parsed);
+    CHECK(hasFault(faults, ResultCode::ConfigurationUnknownReference, "workspace[0].default_class",
+                   4));
+    CHECK(hasFault(faults, ResultCode::ConfigurationDuplicateName, "model[1].name", 8));
+}
+
+TEST_CASE("addresses are IP numbers with ports")
+{
+    CHECK(parseAddress("127.0.0.1:80") == Address{ "127.0.0.1", 80 });
+    CHECK(parseAddress("[::1]:80") == Address{ "::1", 80 });
+    CHECK_FALSE(parseAddress("localhost:80"));
+    CHECK_FALSE(parseAddress("127.0.0.1:0"));
+    CHECK_FALSE(parseAddress("127.0.0.1:65536"));
+    CHECK_FALSE(parseAddress("127.0.0.1"));
+}
--- /dev/null
+++ b/test/SseScannerTest.cpp
@@ -0,0 +1,22 @@
+#include <currantreel/src/Shell/SseScanner.h>
+#include <doctest/doctest.h>
+#include <string>
+
+using namespace currantreel;
+
+TEST_CASE("events are counted and the end mark is seen however the bytes are cut")
+{
+    const std::string stream = "data: {\"a\":1}\n\n: note\r\n\r\ndata:{\"b\":\"[DONE]\"}\n\n"
+                               "event: x\ndata: [DONE] not\n\ndata: [DONE]\r\n\r\n";
+    for (std::size_t piece = 1; piece <= stream.size(); ++piece) {
+        SseScanner scanner;
+        std::uint32_t events = 0;
+        for (std::size_t begin = 0; begin < stream.size(); begin += piece) {
+            if (begin + piece < stream.size())
+                CHECK((begin + piece >= stream.size() - 3 || !scanner.isEnded()));
+            events += scanner.scan(std::string_view(stream).substr(begin, piece));
+        }
+        CHECK(events == 3);
+        CHECK(scanner.isEnded());
+    }
+}
