--- a/currantreel/src/World/Effect.h
+++ b/currantreel/src/World/Effect.h
@@ -112,6 +112,7 @@
 struct SendPeer
 {
     HostId to;
+    Address address;
     PeerMessage message;
 };
 
--- a/currantreel/src/World/Event.h
+++ b/currantreel/src/World/Event.h
@@ -4,6 +4,7 @@
 #include "../Configuration/Configuration.h"
 #include "../Core/Id.h"
 #include "../Core/Time.h"
+#include "HostEntry.h"
 #include "PeerMessage.h"
 #include <memory>
 #include <optional>
@@ -98,27 +99,6 @@
     std::shared_ptr<const Configuration> configuration;
 };
 
-/// State of a host or backend server in the platform's list.
-enum class Liveness : std::uint8_t { Live, Leaving };
-
-/// One host of ours in the platform's list.
-struct HostEntry
-{
-    HostId id;
-    std::string name;
-    FailureDomainId failureDomain;
-    Address callers;
-    Address peers;
-    Liveness liveness = Liveness::Live;
-};
-
-/// One backend server in the platform's list.
-struct BackendServerEntry
-{
-    BackendServerId id;
-    Liveness liveness = Liveness::Live;
-};
-
 /// The platform's lagging list was read.
 struct HostListRead
 {
--- a/currantreel/src/World/StepContext.h
+++ b/currantreel/src/World/StepContext.h
@@ -3,6 +3,7 @@
 
 #include "../Configuration/Configuration.h"
 #include "Effect.h"
+#include "HostEntry.h"
 #include <deque>
 #include <memory>
 #include <string>
@@ -31,6 +32,7 @@
     HostIdentity self;
     TimePoint now;
     std::shared_ptr<const Configuration> configuration = std::make_shared<Configuration>();
+    Table<HostEntry> hosts; ///< Every host of ours that is known.
     EffectList effects;
     std::deque<OutgoingMessage> outbox;
 
