Let policies vary: queue and server choice are parameters of the world

Change: RoutingPolicy bundles the queue and the choice of server; hosts live in the step's context, so that keys, peers and membership share one table. Conclusion: later policies are added without touching the systems.

--- a/currantreel/src/World/KeySystem.cpp
+++ b/currantreel/src/World/KeySystem.cpp
@@ -42,12 +42,6 @@
 {
 }
 
-void KeySystem::updateHosts(const std::vector<HostEntry> &hosts)
-{
-    for (const HostEntry &host : hosts)
-        m_hosts.insert(host);
-}
-
 std::string KeySystem::issue(const StepContext &context, KeyId *id)
 {
     const KeyId key{ m_nextKey++ };
@@ -57,25 +51,21 @@
         IdempotencyKey{ m_self.id, m_self.incarnation, key, context.now + timing::keyValidity });
 }
 
-const HostEntry *KeySystem::issuerOf(const IdempotencyKey &key) const
-{
-    return m_hosts.find(key.issuer);
-}
-
 KeyDecision KeySystem::claimOwn(const StepContext &context, const IdempotencyKey &key,
                                 const RequestArrived &request)
 {
     return decisionOf(m_table.claim(key, request.request, request.bodyHash, context.now), key.id);
 }
 
-KeyDecision KeySystem::claimForeign(const IdempotencyKey &key, bool isForwarded) const
+KeyDecision KeySystem::claimForeign(const StepContext &context, const IdempotencyKey &key,
+                                    bool isForwarded) const
 {
     // An earlier incarnation may have run the request, and nobody else can know.
     if (key.issuer == m_self.id)
         return refusal(ResultCode::KeyRunUnknown, Outcome::Unknown);
     if (isForwarded)
         return refusal(ResultCode::KeyIssuerUnreachable, Outcome::Unknown);
-    const HostEntry *issuer = issuerOf(key);
+    const HostEntry *issuer = context.hosts.find(key.issuer);
     if (!issuer)
         return refusal(ResultCode::KeyIssuerUnreachable, Outcome::Unknown);
     return KeyDecision{ KeyDecision::Action::Forward, key.id, *issuer, {}, {} };
@@ -88,7 +78,7 @@
     if (!key)
         return refusal(ResultCode::KeyMalformed, Outcome::NotRun);
     if (key->issuer != m_self.id || key->incarnation != m_self.incarnation)
-        return claimForeign(*key, request.isForwarded);
+        return claimForeign(context, *key, request.isForwarded);
     if (!m_codec.isGenuine(text))
         return refusal(ResultCode::KeyNotIssuedHere, Outcome::NotRun);
     return claimOwn(context, *key, request);
@@ -103,7 +93,7 @@
         return;
     }
     if (key->issuer != m_self.id || key->incarnation != m_self.incarnation) {
-        const KeyDecision decision = claimForeign(*key, event.isForwarded);
+        const KeyDecision decision = claimForeign(context, *key, event.isForwarded);
         if (decision.action == KeyDecision::Action::Forward)
             context.emit(
                 ForwardRequest{ event.request, decision.issuer.id, decision.issuer.callers });
--- a/currantreel/src/World/KeySystem.h
+++ b/currantreel/src/World/KeySystem.h
@@ -33,9 +33,6 @@
 public:
     KeySystem(const HostIdentity &self, const KeySecret &secret);
 
-    /// Takes the platform's list, to find the issuers of keys.
-    void updateHosts(const std::vector<HostEntry> &hosts);
-
     /// Makes a key.
     std::string issue(const StepContext &context, KeyId *id = nullptr);
 
@@ -58,15 +55,14 @@
     [[nodiscard]] std::size_t size() const { return m_table.size(); }
 
 private:
-    [[nodiscard]] const HostEntry *issuerOf(const IdempotencyKey &key) const;
     [[nodiscard]] KeyDecision claimOwn(const StepContext &context, const IdempotencyKey &key,
                                        const RequestArrived &request);
-    [[nodiscard]] KeyDecision claimForeign(const IdempotencyKey &key, bool isForwarded) const;
+    [[nodiscard]] KeyDecision claimForeign(const StepContext &context, const IdempotencyKey &key,
+                                           bool isForwarded) const;
 
     HostIdentity m_self;
     KeyCodec m_codec;
     KeyTable m_table;
-    Table<HostEntry> m_hosts;
     std::uint64_t m_nextKey = 1;
 };
 
--- a/currantreel/src/World/OwnerSystem.cpp
+++ b/currantreel/src/World/OwnerSystem.cpp
@@ -31,8 +31,8 @@
     return TargetId{ service.value ^ serviceTargetSalt };
 }
 
-template <GrantQueue Queue>
-void OwnerSystem<Queue>::configure(const StepContext &context)
+template <RoutingPolicy Policy>
+void OwnerSystem<Policy>::configure(const StepContext &context)
 {
     const Configuration &configuration = *context.configuration;
     m_servers.removeIf(
@@ -49,8 +49,8 @@
     }
 }
 
-template <GrantQueue Queue>
-void OwnerSystem<Queue>::updateLiveness(const std::vector<BackendServerEntry> &entries)
+template <RoutingPolicy Policy>
+void OwnerSystem<Policy>::updateLiveness(const std::vector<BackendServerEntry> &entries)
 {
     m_leaving.clear();
     for (const BackendServerEntry &entry : entries) {
@@ -61,14 +61,15 @@
         row.isLeaving = m_leaving.contains(row.id);
 }
 
-template <GrantQueue Queue>
-Queue &OwnerSystem<Queue>::queueOf(const StepContext &context, TargetId target)
+template <RoutingPolicy Policy>
+typename OwnerSystem<Policy>::Queue &OwnerSystem<Policy>::queueOf(const StepContext &context,
+                                                                  TargetId target)
 {
     return m_queues.try_emplace(target, context.configuration->floorPermille).first->second;
 }
 
-template <GrantQueue Queue>
-bool OwnerSystem<Queue>::hasServer(TargetId target) const
+template <RoutingPolicy Policy>
+bool OwnerSystem<Policy>::hasServer(TargetId target) const
 {
     return std::any_of(m_servers.begin(), m_servers.end(), [target](const ServerRow &row) {
         return !row.isLeaving
@@ -76,9 +77,9 @@
     });
 }
 
-template <GrantQueue Queue>
-void OwnerSystem<Queue>::onRequest(StepContext &context, Counters &counters,
-                                   const GrantRequest &request)
+template <RoutingPolicy Policy>
+void OwnerSystem<Policy>::onRequest(StepContext &context, Counters &counters,
+                                    const GrantRequest &request)
 {
     const TimePoint now = context.now;
     QueuedGrant grant{ request, now, now + request.firstTokenIn, now + request.answerIn,
@@ -97,8 +98,8 @@
     queue.push(std::move(grant));
 }
 
-template <GrantQueue Queue>
-void OwnerSystem<Queue>::onWithdrawn(const GrantWithdrawn &message)
+template <RoutingPolicy Policy>
+void OwnerSystem<Policy>::onWithdrawn(const GrantWithdrawn &message)
 {
     for (auto &[target, queue] : m_queues) {
         if (queue.remove(message.id))
@@ -106,14 +107,14 @@
     }
 }
 
-template <GrantQueue Queue>
-void OwnerSystem<Queue>::onReleased(const LeaseReleased &message)
+template <RoutingPolicy Policy>
+void OwnerSystem<Policy>::onReleased(const LeaseReleased &message)
 {
     endLease(message.lease);
 }
 
-template <GrantQueue Queue>
-void OwnerSystem<Queue>::onRenewal(const StepContext &context, const LeaseRenewal &message)
+template <RoutingPolicy Policy>
+void OwnerSystem<Policy>::onRenewal(const StepContext &context, const LeaseRenewal &message)
 {
     for (const LeaseRenewal::Item &item : message.items) {
         if (LeaseRow *lease = m_leases.find(item.lease))
@@ -121,8 +122,8 @@
     }
 }
 
-template <GrantQueue Queue>
-void OwnerSystem<Queue>::endLease(LeaseId lease)
+template <RoutingPolicy Policy>
+void OwnerSystem<Policy>::endLease(LeaseId lease)
 {
     const LeaseRow *row = m_leases.find(lease);
     if (!row)
@@ -133,8 +134,8 @@
     m_leases.remove(lease);
 }
 
-template <GrantQueue Queue>
-void OwnerSystem<Queue>::expireLeases(TimePoint now)
+template <RoutingPolicy Policy>
+void OwnerSystem<Policy>::expireLeases(TimePoint now)
 {
     std::vector<LeaseId> expired;
     for (const LeaseRow &row : m_leases) {
@@ -145,27 +146,25 @@
         endLease(lease);
 }
 
-template <GrantQueue Queue>
-typename OwnerSystem<Queue>::ServerRow *OwnerSystem<Queue>::freeServer(const StepContext &context,
-                                                                       TargetId target)
+template <RoutingPolicy Policy>
+std::vector<ServerCandidate> OwnerSystem<Policy>::freeServers(const StepContext &context,
+                                                              TargetId target) const
 {
-    ServerRow *best = nullptr;
-    for (ServerRow &row : m_servers) {
+    std::vector<ServerCandidate> candidates;
+    for (const ServerRow &row : m_servers) {
         const bool canServe =
             std::find(row.targets.begin(), row.targets.end(), target) != row.targets.end();
         const bool isFree =
             !row.isLeaving && row.inFlight < row.slots && row.refusedUntil <= context.now;
-        if (!canServe || !isFree)
-            continue;
-        if (!best || row.inFlight * best->slots < best->inFlight * row.slots)
-            best = &row;
+        if (canServe && isFree)
+            candidates.push_back(ServerCandidate{ row.id, row.inFlight, row.slots });
     }
-    return best;
+    return candidates;
 }
 
-template <GrantQueue Queue>
-void OwnerSystem<Queue>::grant(StepContext &context, Counters &counters, const QueuedGrant &grant,
-                               ServerRow &server)
+template <RoutingPolicy Policy>
+void OwnerSystem<Policy>::grant(StepContext &context, Counters &counters, const QueuedGrant &grant,
+                                ServerRow &server)
 {
     const LeaseId lease{ m_nextLease++ };
     ++server.inFlight;
@@ -175,33 +174,35 @@
     context.send(id.entry, Granted{ id, lease, server.id, timing::leasePeriod });
 }
 
-template <GrantQueue Queue>
-void OwnerSystem<Queue>::shed(StepContext &context, Counters &counters, const QueuedGrant &grant,
-                              ResultCode code)
+template <RoutingPolicy Policy>
+void OwnerSystem<Policy>::shed(StepContext &context, Counters &counters, const QueuedGrant &grant,
+                               ResultCode code)
 {
     ++counters.shed[grant.request.tier];
     const GrantId id = grant.request.id;
     context.send(id.entry, GrantShed{ id, code, timing::shedRetryAfter });
 }
 
-template <GrantQueue Queue>
-void OwnerSystem<Queue>::run(StepContext &context, Counters &counters)
+template <RoutingPolicy Policy>
+void OwnerSystem<Policy>::run(StepContext &context, Counters &counters)
 {
     expireLeases(context.now);
     for (auto &[target, queue] : m_queues) {
         while (const auto late = queue.popExpired(context.now))
             shed(context, counters, *late, ResultCode::TargetUnreachable);
         while (queue.size() > 0) {
-            ServerRow *server = freeServer(context, target);
-            if (!server)
+            const std::vector<ServerCandidate> candidates = freeServers(context, target);
+            if (candidates.empty())
                 break;
-            grant(context, counters, *queue.pop(context.now), *server);
+            const QueuedGrant next = *queue.pop(context.now);
+            const std::size_t chosen = m_choice.choose(candidates, next);
+            grant(context, counters, next, *m_servers.find(candidates[chosen].id));
         }
     }
 }
 
-template <GrantQueue Queue>
-std::size_t OwnerSystem<Queue>::queued() const
+template <RoutingPolicy Policy>
+std::size_t OwnerSystem<Policy>::queued() const
 {
     std::size_t total = 0;
     for (const auto &[target, queue] : m_queues)
@@ -209,13 +210,13 @@
     return total;
 }
 
-template <GrantQueue Queue>
-std::uint32_t OwnerSystem<Queue>::inFlight(BackendServerId server) const
+template <RoutingPolicy Policy>
+std::uint32_t OwnerSystem<Policy>::inFlight(BackendServerId server) const
 {
     const ServerRow *row = m_servers.find(server);
     return row ? row->inFlight : 0;
 }
 
-template class OwnerSystem<TieredQueue>;
+template class OwnerSystem<TieredPolicy>;
 
 } // namespace currantreel
--- a/currantreel/src/World/OwnerSystem.h
+++ b/currantreel/src/World/OwnerSystem.h
@@ -1,10 +1,9 @@
 #ifndef CURRANTREEL_WORLD_OWNERSYSTEM_H
 #define CURRANTREEL_WORLD_OWNERSYSTEM_H
 
-#include "../Admission/GrantQueue.h"
-#include "../Admission/TieredQueue.h"
 #include "Counters.h"
 #include "Event.h"
+#include "RoutingPolicy.h"
 #include "StepContext.h"
 #include <map>
 #include <set>
@@ -17,8 +16,8 @@
 [[nodiscard]] TargetId targetOfService(ServiceId service);
 
 /// Owner role: queues the requests for the backend servers this host owns and grants their slots.
-/// @tparam Queue decides who is granted next.
-template <GrantQueue Queue>
+/// @tparam Policy decides who is granted next and on which server.
+template <RoutingPolicy Policy>
 class OwnerSystem
 {
 public:
@@ -42,6 +41,8 @@
     [[nodiscard]] std::uint32_t inFlight(BackendServerId server) const;
 
 private:
+    using Queue = typename Policy::Queue;
+
     struct ServerRow
     {
         BackendServerId id;
@@ -63,20 +64,22 @@
     void grant(StepContext &context, Counters &counters, const QueuedGrant &grant,
                ServerRow &server);
     void shed(StepContext &context, Counters &counters, const QueuedGrant &grant, ResultCode code);
-    [[nodiscard]] ServerRow *freeServer(const StepContext &context, TargetId target);
+    [[nodiscard]] std::vector<ServerCandidate> freeServers(const StepContext &context,
+                                                           TargetId target) const;
     [[nodiscard]] bool hasServer(TargetId target) const;
     Queue &queueOf(const StepContext &context, TargetId target);
     void endLease(LeaseId lease);
     void expireLeases(TimePoint now);
 
     std::map<TargetId, Queue> m_queues;
+    typename Policy::Choice m_choice;
     Table<ServerRow> m_servers;
     Table<LeaseRow> m_leases;
     std::set<BackendServerId> m_leaving;
     std::uint64_t m_nextLease = 1;
 };
 
-extern template class OwnerSystem<TieredQueue>;
+extern template class OwnerSystem<TieredPolicy>;
 
 } // namespace currantreel
 
--- a/currantreel/src/World/World.cpp
+++ b/currantreel/src/World/World.cpp
@@ -2,15 +2,15 @@
 
 namespace currantreel {
 
-template <GrantQueue Queue>
-BasicWorld<Queue>::BasicWorld(HostIdentity self, const KeySecret &secret)
+template <RoutingPolicy Policy>
+BasicWorld<Policy>::BasicWorld(HostIdentity self, const KeySecret &secret)
     : m_entry(self.incarnation), m_keys(self, secret)
 {
     m_context.self = std::move(self);
 }
 
-template <GrantQueue Queue>
-const EffectList &BasicWorld<Queue>::step(TimePoint now, std::span<const Event> events)
+template <RoutingPolicy Policy>
+const EffectList &BasicWorld<Policy>::step(TimePoint now, std::span<const Event> events)
 {
     m_context.now = now;
     m_context.effects.clear();
@@ -27,8 +27,8 @@
     return m_context.effects;
 }
 
-template <GrantQueue Queue>
-void BasicWorld<Queue>::deliver()
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::deliver()
 {
     while (!m_context.outbox.empty()) {
         const OutgoingMessage outgoing = std::move(m_context.outbox.front());
@@ -36,12 +36,19 @@
         if (outgoing.to == m_context.self.id)
             std::visit([this](const auto &one) { this->receive(one); }, outgoing.message);
         else
-            m_context.emit(SendPeer{ outgoing.to, outgoing.message });
+            sendToPeer(outgoing);
     }
 }
 
-template <GrantQueue Queue>
-void BasicWorld<Queue>::reportStop()
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::sendToPeer(const OutgoingMessage &outgoing)
+{
+    if (const HostEntry *host = m_context.hosts.find(outgoing.to))
+        m_context.emit(SendPeer{ host->id, host->peers, outgoing.message });
+}
+
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::reportStop()
 {
     if (!m_isStopping || m_isStopReported || m_entry.size() > 0)
         return;
@@ -49,8 +56,8 @@
     m_context.emit(StopCompleted{});
 }
 
-template <GrantQueue Queue>
-void BasicWorld<Queue>::apply(const RequestArrived &event)
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::apply(const RequestArrived &event)
 {
     if (m_isStopping) {
         m_context.emit(RefuseRequest{ event.request, ResultCode::Stopping, Outcome::NotRun, {} });
@@ -59,8 +66,8 @@
     m_entry.onArrived(m_context, m_counters, m_keys, event);
 }
 
-template <GrantQueue Queue>
-void BasicWorld<Queue>::apply(const KeyRequested &event)
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::apply(const KeyRequested &event)
 {
     if (m_isStopping) {
         m_context.emit(RefuseRequest{ event.request, ResultCode::Stopping, Outcome::NotRun, {} });
@@ -69,56 +76,56 @@
     m_context.emit(KeyIssued{ event.request, m_keys.issue(m_context) });
 }
 
-template <GrantQueue Queue>
-void BasicWorld<Queue>::apply(const KeyStateAsked &event)
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::apply(const KeyStateAsked &event)
 {
     m_keys.onStateAsked(m_context, event);
 }
 
-template <GrantQueue Queue>
-void BasicWorld<Queue>::apply(const CallerLeft &event)
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::apply(const CallerLeft &event)
 {
     m_entry.onCallerLeft(m_context, m_counters, m_keys, event);
 }
 
-template <GrantQueue Queue>
-void BasicWorld<Queue>::apply(const AttemptHead &event)
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::apply(const AttemptHead &event)
 {
     m_entry.onHead(m_context, m_counters, m_keys, event);
 }
 
-template <GrantQueue Queue>
-void BasicWorld<Queue>::apply(const AttemptTokens &event)
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::apply(const AttemptTokens &event)
 {
     m_entry.onTokens(m_context, event);
 }
 
-template <GrantQueue Queue>
-void BasicWorld<Queue>::apply(const AttemptDone &event)
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::apply(const AttemptDone &event)
 {
     m_entry.onDone(m_context, m_counters, m_keys, event);
 }
 
-template <GrantQueue Queue>
-void BasicWorld<Queue>::apply(const AttemptFailed &event)
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::apply(const AttemptFailed &event)
 {
     m_entry.onFailed(m_context, m_counters, m_keys, event);
 }
 
-template <GrantQueue Queue>
-void BasicWorld<Queue>::apply(const ForwardFailed &event)
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::apply(const ForwardFailed &event)
 {
     m_entry.onForwardEnded(m_context, event.request, false);
 }
 
-template <GrantQueue Queue>
-void BasicWorld<Queue>::apply(const ForwardDone &event)
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::apply(const ForwardDone &event)
 {
     m_entry.onForwardEnded(m_context, event.request, true);
 }
 
-template <GrantQueue Queue>
-void BasicWorld<Queue>::apply(const ConfigurationRead &event)
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::apply(const ConfigurationRead &event)
 {
     if (event.configuration->version <= m_context.configuration->version)
         return;
@@ -127,62 +134,63 @@
     m_context.emit(ConfigurationInForce{ event.configuration->version });
 }
 
-template <GrantQueue Queue>
-void BasicWorld<Queue>::apply(const HostListRead &event)
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::apply(const HostListRead &event)
 {
     m_hasHostList = true;
-    m_keys.updateHosts(event.hosts);
+    for (const HostEntry &host : event.hosts)
+        m_context.hosts.insert(host);
     m_owner.updateLiveness(event.backendServers);
 }
 
-template <GrantQueue Queue>
-void BasicWorld<Queue>::apply(const PeerMessageReceived &event)
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::apply(const PeerMessageReceived &event)
 {
     std::visit([this](const auto &one) { this->receive(one); }, event.message);
 }
 
-template <GrantQueue Queue>
-void BasicWorld<Queue>::apply(const StopOrdered & /*event*/)
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::apply(const StopOrdered & /*event*/)
 {
     m_isStopping = true;
 }
 
-template <GrantQueue Queue>
-void BasicWorld<Queue>::receive(const GrantRequest &message)
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::receive(const GrantRequest &message)
 {
     m_owner.onRequest(m_context, m_counters, message);
 }
 
-template <GrantQueue Queue>
-void BasicWorld<Queue>::receive(const Granted &message)
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::receive(const Granted &message)
 {
     m_entry.onGranted(m_context, m_counters, message);
 }
 
-template <GrantQueue Queue>
-void BasicWorld<Queue>::receive(const GrantShed &message)
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::receive(const GrantShed &message)
 {
     m_entry.onShed(m_context, m_counters, m_keys, message);
 }
 
-template <GrantQueue Queue>
-void BasicWorld<Queue>::receive(const GrantWithdrawn &message)
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::receive(const GrantWithdrawn &message)
 {
     m_owner.onWithdrawn(message);
 }
 
-template <GrantQueue Queue>
-void BasicWorld<Queue>::receive(const LeaseReleased &message)
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::receive(const LeaseReleased &message)
 {
     m_owner.onReleased(message);
 }
 
-template <GrantQueue Queue>
-void BasicWorld<Queue>::receive(const LeaseRenewal &message)
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::receive(const LeaseRenewal &message)
 {
     m_owner.onRenewal(m_context, message);
 }
 
-template class BasicWorld<TieredQueue>;
+template class BasicWorld<TieredPolicy>;
 
 } // namespace currantreel
--- a/currantreel/src/World/World.h
+++ b/currantreel/src/World/World.h
@@ -14,8 +14,8 @@
 
 /// The state of one host and everything it decides. Pure: no socket, no clock; the same events at the
 /// same times give the same effects.
-/// @tparam Queue decides who is granted next.
-template <GrantQueue Queue>
+/// @tparam Policy decides who is granted next and on which server.
+template <RoutingPolicy Policy>
 class BasicWorld
 {
 public:
@@ -28,7 +28,7 @@
     [[nodiscard]] const HostIdentity &self() const { return m_context.self; }
     [[nodiscard]] const Configuration &configuration() const { return *m_context.configuration; }
     [[nodiscard]] const Counters &counters() const { return m_counters; }
-    [[nodiscard]] const OwnerSystem<Queue> &owner() const { return m_owner; }
+    [[nodiscard]] const OwnerSystem<Policy> &owner() const { return m_owner; }
     [[nodiscard]] std::size_t requestsInProgress() const { return m_entry.size(); }
     [[nodiscard]] std::size_t keysInUse() const { return m_keys.size(); }
     [[nodiscard]] bool isStopping() const { return m_isStopping; }
@@ -62,22 +62,23 @@
     void receive(const LeaseRenewal &message);
 
     void deliver();
+    void sendToPeer(const OutgoingMessage &outgoing);
     void reportStop();
 
     StepContext m_context;
     Counters m_counters;
     EntrySystem m_entry;
-    OwnerSystem<Queue> m_owner;
+    OwnerSystem<Policy> m_owner;
     KeySystem m_keys;
     bool m_hasHostList = false;
     bool m_isStopping = false;
     bool m_isStopReported = false;
 };
 
-extern template class BasicWorld<TieredQueue>;
+extern template class BasicWorld<TieredPolicy>;
 
 /// The world as the daemon runs it.
-using World = BasicWorld<TieredQueue>;
+using World = BasicWorld<TieredPolicy>;
 
 } // namespace currantreel
 
