Links between hosts: TCP frames with FlatBuffers, proven by the cluster secret

Cause: hosts could not speak to each other. Change: length-prefixed frames, verified before use and bounded to 256 KB; greeting with protocol version and nonce, proof by keyed hash; incarnation and sequence on each frame; links are opened on demand, pinged when quiet, replaced by a new connection when silent, and dialled again with backoff. Conclusion: messages of other modules travel once they have a table in the schema; a message without one does not compile, and the error says what to add.

--- /dev/null
+++ b/currantreel/src/Peer/PeerDecoder.cpp
@@ -0,0 +1,154 @@
+#include "PeerDecoder.h"
+
+#include <PeerMessage_generated.h>
+#include <cmath>
+
+namespace currantreel::detail {
+
+namespace {
+
+/// Longest time in a message. Longer ones come from no correct host and could overflow.
+constexpr Duration longestTime = std::chrono::hours(24);
+
+/// Largest weight of a workspace; the configuration allows no larger one.
+constexpr double largestShare = 1'000'000.0;
+
+/// Checks and converts the values of one message, and remembers whether all were right.
+class Reader
+{
+public:
+    [[nodiscard]] bool isValid() const { return m_isValid; }
+
+    GrantId grantId(const wire::GrantId *id)
+    {
+        require(id && id->request() != 0);
+        return id ? GrantId{ HostId{ id->entry() }, RequestId{ id->request() } } : GrantId();
+    }
+
+    Duration time(std::int64_t microseconds)
+    {
+        const Duration time(microseconds);
+        require(time >= -longestTime && time <= longestTime);
+        return time;
+    }
+
+    Tier tier(std::uint8_t tier)
+    {
+        require(tier < tierCount);
+        return tier;
+    }
+
+    double share(double share)
+    {
+        require(std::isfinite(share) && share > 0.0 && share <= largestShare);
+        return share;
+    }
+
+    ResultCode code(std::uint16_t code)
+    {
+        const auto result = static_cast<ResultCode>(code);
+        require(info(result).code == result);
+        return result;
+    }
+
+    void require(bool isRight) { m_isValid = m_isValid && isRight; }
+
+private:
+    bool m_isValid = true;
+};
+
+GrantRequest decode(Reader &reader, const wire::GrantRequest &table)
+{
+    GrantRequest message;
+    message.id = reader.grantId(table.id());
+    message.target = TargetId{ table.target() };
+    message.requestClass = ClassId{ table.request_class() };
+    message.tier = reader.tier(table.tier());
+    message.workspace = WorkspaceId{ table.workspace() };
+    message.share = reader.share(table.share());
+    message.firstTokenIn = reader.time(table.first_token_in_us());
+    message.answerIn = reader.time(table.answer_in_us());
+    message.queueBound = reader.time(table.queue_bound_us());
+    message.isWorthlessWhenLate = table.is_worthless_when_late();
+    message.isPreemptible = table.is_preemptible();
+    message.promptTokens = table.prompt_tokens();
+    message.predictedTokens = table.predicted_tokens();
+    message.prefixHash = table.prefix_hash();
+    message.avoid = BackendServerId{ table.avoid() };
+    return message;
+}
+
+Granted decode(Reader &reader, const wire::Granted &table)
+{
+    return Granted{ reader.grantId(table.id()), LeaseId{ table.lease() },
+                    BackendServerId{ table.server() }, reader.time(table.lease_for_us()) };
+}
+
+GrantShed decode(Reader &reader, const wire::GrantShed &table)
+{
+    return GrantShed{ reader.grantId(table.id()), reader.code(table.code()),
+                      reader.time(table.retry_after_us()) };
+}
+
+GrantWithdrawn decode(Reader &reader, const wire::GrantWithdrawn &table)
+{
+    return GrantWithdrawn{ reader.grantId(table.id()) };
+}
+
+LeaseReleased decode(Reader &reader, const wire::LeaseReleased &table)
+{
+    reader.require(table.end() <= static_cast<std::uint8_t>(LeaseEnd::Failed));
+    return LeaseReleased{ reader.grantId(table.id()),
+                          LeaseId{ table.lease() },
+                          BackendServerId{ table.server() },
+                          static_cast<LeaseEnd>(table.end()),
+                          table.tokens(),
+                          reader.time(table.first_token_us()),
+                          reader.time(table.inter_token_us()) };
+}
+
+LeaseRenewal decode(Reader &reader, const wire::LeaseRenewal &table)
+{
+    LeaseRenewal message;
+    message.entry = HostId{ table.entry() };
+    if (!table.items())
+        return message;
+    for (const wire::LeaseItem *item : *table.items())
+        message.items.push_back({ reader.grantId(&item->id()), LeaseId{ item->lease() },
+                                  BackendServerId{ item->server() }, reader.tier(item->tier()) });
+    return message;
+}
+
+template <typename Table>
+std::optional<PeerMessage> decodeAs(const wire::Frame &frame)
+{
+    Reader reader;
+    PeerMessage message = decode(reader, *static_cast<const Table *>(frame.body()));
+    if (!reader.isValid())
+        return std::nullopt;
+    return message;
+}
+
+} // namespace
+
+std::optional<PeerMessage> decodeMessage(const wire::Frame &frame)
+{
+    switch (frame.body_type()) {
+    case wire::Body::GrantRequest:
+        return decodeAs<wire::GrantRequest>(frame);
+    case wire::Body::Granted:
+        return decodeAs<wire::Granted>(frame);
+    case wire::Body::GrantShed:
+        return decodeAs<wire::GrantShed>(frame);
+    case wire::Body::GrantWithdrawn:
+        return decodeAs<wire::GrantWithdrawn>(frame);
+    case wire::Body::LeaseReleased:
+        return decodeAs<wire::LeaseReleased>(frame);
+    case wire::Body::LeaseRenewal:
+        return decodeAs<wire::LeaseRenewal>(frame);
+    default:
+        return std::nullopt;
+    }
+}
+
+} // namespace currantreel::detail
--- /dev/null
+++ b/currantreel/src/Peer/PeerEncoder.cpp
@@ -0,0 +1,93 @@
+#include "PeerEncoder.h"
+
+#include <PeerMessage_generated.h>
+
+namespace currantreel::detail {
+
+namespace {
+
+using Builder = flatbuffers::FlatBufferBuilder;
+
+template <typename T>
+EncodedBody bodyOf(flatbuffers::Offset<T> table)
+{
+    return EncodedBody{ static_cast<std::uint8_t>(wire::BodyTraits<T>::enum_value), table.Union() };
+}
+
+wire::GrantId toWire(const GrantId &id)
+{
+    return { id.entry.value, id.request.value };
+}
+
+EncodedBody encode(Builder &builder, const GrantRequest &message)
+{
+    const wire::GrantId id = toWire(message.id);
+    return bodyOf(wire::CreateGrantRequest(
+        builder, &id, message.target.value, message.requestClass.value, message.tier,
+        message.workspace.value, message.share, message.firstTokenIn.count(),
+        message.answerIn.count(), message.queueBound.count(), message.isWorthlessWhenLate,
+        message.isPreemptible, message.promptTokens, message.predictedTokens, message.prefixHash,
+        message.avoid.value));
+}
+
+EncodedBody encode(Builder &builder, const Granted &message)
+{
+    const wire::GrantId id = toWire(message.id);
+    return bodyOf(wire::CreateGranted(builder, &id, message.lease.value, message.server.value,
+                                      message.leaseFor.count()));
+}
+
+EncodedBody encode(Builder &builder, const GrantShed &message)
+{
+    const wire::GrantId id = toWire(message.id);
+    return bodyOf(wire::CreateGrantShed(builder, &id, static_cast<std::uint16_t>(message.code),
+                                        message.retryAfter.count()));
+}
+
+EncodedBody encode(Builder &builder, const GrantWithdrawn &message)
+{
+    const wire::GrantId id = toWire(message.id);
+    return bodyOf(wire::CreateGrantWithdrawn(builder, &id));
+}
+
+EncodedBody encode(Builder &builder, const LeaseReleased &message)
+{
+    const wire::GrantId id = toWire(message.id);
+    return bodyOf(wire::CreateLeaseReleased(builder, &id, message.lease.value, message.server.value,
+                                            static_cast<std::uint8_t>(message.end), message.tokens,
+                                            message.firstToken.count(),
+                                            message.interToken.count()));
+}
+
+EncodedBody encode(Builder &builder, const LeaseRenewal &message)
+{
+    std::vector<wire::LeaseItem> items;
+    items.reserve(message.items.size());
+    for (const LeaseRenewal::Item &item : message.items)
+        items.emplace_back(toWire(item.id), item.lease.value, item.server.value, item.tier);
+    const auto vector = builder.CreateVectorOfStructs(items);
+    return bodyOf(wire::CreateLeaseRenewal(builder, message.entry.value, vector));
+}
+
+template <typename Message>
+concept Encodable = requires(Builder &builder, const Message &message)
+{
+    encode(builder, message);
+};
+
+} // namespace
+
+EncodedBody encodeBody(Builder &builder, const PeerMessage &message)
+{
+    return std::visit(
+        [&builder]<typename Message>(const Message &one) {
+            static_assert(Encodable<Message>,
+                          "a PeerMessage alternative lacks its wire form: add a table to "
+                          "PeerMessage.fbs and its union, run scripts/generate.sh, and add "
+                          "encode() in PeerEncoder.cpp and decode() in PeerDecoder.cpp");
+            return encode(builder, one);
+        },
+        message);
+}
+
+} // namespace currantreel::detail
--- a/currantreel/src/Shell/Daemon.cpp
+++ b/currantreel/src/Shell/Daemon.cpp
@@ -52,6 +52,11 @@
                 [this](Event event) { post(std::move(event)); }),
       m_operators(m_base.get(), settings, m_world),
       m_platform(m_base.get(), settings, m_log, [this](Event event) { post(std::move(event)); }),
+      m_peers(
+          m_base.get(), settings,
+          LinkIdentity{ HostId::ofName(settings.name), m_incarnation, settings.clusterSecret },
+          m_log, [this](HostId host) { return m_world.knows(host); },
+          [this](Event event) { post(std::move(event)); }),
       m_tick(event_new(m_base.get(), -1, EV_PERSIST, &Daemon::onTick, this)),
       m_terminate(evsignal_new(m_base.get(), SIGTERM, &Daemon::onSignal, this)),
       m_interrupt(evsignal_new(m_base.get(), SIGINT, &Daemon::onSignal, this))
@@ -66,11 +71,12 @@
 
 int Daemon::run()
 {
-    if (!m_callers.listen() || !m_operators.listen()) {
+    if (!m_callers.listen() || !m_operators.listen() || !m_peers.listen()) {
         m_log.write("listen_failed",
                     { { "code", std::to_string(number(ResultCode::SettingsListenFailed)) },
                       { "callers", toText(m_settings->callers) },
-                      { "operators", toText(m_settings->operators) } });
+                      { "operators", toText(m_settings->operators) },
+                      { "peers", toText(m_settings->peers) } });
         return exitListenFailed;
     }
     signal(SIGPIPE, SIG_IGN);
@@ -124,7 +130,10 @@
     post(StopOrdered{});
 }
 
-void Daemon::handle(const SendPeer & /*effect*/) { }
+void Daemon::handle(const SendPeer &effect)
+{
+    m_peers.send(effect.to, effect.address, effect.message);
+}
 
 void Daemon::handle(const ConfigurationInForce &effect)
 {
--- a/currantreel/src/Shell/Daemon.h
+++ b/currantreel/src/Shell/Daemon.h
@@ -7,6 +7,7 @@
 #include "CallerFront.h"
 #include "EventHandles.h"
 #include "OperatorFront.h"
+#include "PeerLinks.h"
 #include "PlatformClient.h"
 #include <vector>
 
@@ -46,6 +47,7 @@
     CallerFront m_callers;
     OperatorFront m_operators;
     PlatformClient m_platform;
+    PeerLinks m_peers;
     std::vector<Event> m_events;
     EventHandle m_tick;
     EventHandle m_terminate;
--- a/currantreel/src/World/World.h
+++ b/currantreel/src/World/World.h
@@ -32,6 +32,8 @@
     [[nodiscard]] std::size_t requestsInProgress() const { return m_entry.size(); }
     [[nodiscard]] std::size_t keysInUse() const { return m_keys.size(); }
     [[nodiscard]] bool isStopping() const { return m_isStopping; }
+    /// True if @p host is in the list of hosts.
+    [[nodiscard]] bool knows(HostId host) const { return m_context.hosts.find(host) != nullptr; }
     /// True once callers may be sent here: configuration and host list are known, no stop is under way.
     [[nodiscard]] bool isReady() const
     {
--- /dev/null
+++ b/test/PeerCodecTest.cpp
@@ -0,0 +1,146 @@
+#include <cstring>
+#include <currantreel/Peer>
+#include <doctest/doctest.h>
+#include <random>
+
+using namespace currantreel;
+
+namespace {
+
+/// One message of each kind, with a value in every field.
+std::vector<PeerMessage> everyMessage()
+{
+    const GrantId id{ HostId{ 11 }, RequestId{ 12 } };
+    GrantRequest request;
+    request.id = id;
+    request.target = TargetId{ 1 };
+    request.requestClass = ClassId{ 2 };
+    request.tier = 3;
+    request.workspace = WorkspaceId{ 4 };
+    request.share = 2.5;
+    request.firstTokenIn = std::chrono::milliseconds(-5);
+    request.answerIn = std::chrono::seconds(6);
+    request.queueBound = std::chrono::seconds(7);
+    request.isWorthlessWhenLate = true;
+    request.isPreemptible = true;
+    request.promptTokens = 8;
+    request.predictedTokens = 9;
+    request.prefixHash = 10;
+    request.avoid = BackendServerId{ 13 };
+    LeaseRenewal renewal;
+    renewal.entry = HostId{ 11 };
+    renewal.items = { { id, LeaseId{ 1 }, BackendServerId{ 2 }, 1 },
+                      { id, LeaseId{ 3 }, BackendServerId{ 4 }, 4 } };
+    return {
+        request,
+        Granted{ id, LeaseId{ 1 }, BackendServerId{ 2 }, std::chrono::seconds(3) },
+        GrantShed{ id, ResultCode::QueueFull, std::chrono::milliseconds(250) },
+        GrantWithdrawn{ id },
+        LeaseReleased{ id, LeaseId{ 1 }, BackendServerId{ 2 }, LeaseEnd::Failed, 77, Duration(5),
+                       Duration(6) },
+        renewal,
+    };
+}
+
+std::vector<std::uint8_t> encoded(decltype(PeerFrame::body) body)
+{
+    return encodeFrame(PeerFrame{ Incarnation{ 5 }, 6, std::move(body) });
+}
+
+std::span<const std::uint8_t> withoutPrefix(const std::vector<std::uint8_t> &bytes)
+{
+    return std::span(bytes).subspan(framePrefixBytes);
+}
+
+} // namespace
+
+TEST_CASE("every kind of message comes back as it was")
+{
+    const std::vector<PeerMessage> messages = everyMessage();
+    // One message of each kind stands above; a new kind must be added to the list.
+    REQUIRE(messages.size() == std::variant_size_v<PeerMessage>);
+    for (std::size_t i = 0; i < messages.size(); ++i) {
+        REQUIRE(messages[i].index() == i);
+        const std::vector<std::uint8_t> bytes = encoded(messages[i]);
+        const Result<std::size_t> length =
+            readFrameLength(std::span(bytes).first(framePrefixBytes));
+        REQUIRE_FALSE(isError(length));
+        CHECK(value(length) == bytes.size() - framePrefixBytes);
+        const Result<PeerFrame> frame = decodeFrame(withoutPrefix(bytes));
+        REQUIRE_FALSE(isError(frame));
+        CHECK(value(frame).incarnation == Incarnation{ 5 });
+        CHECK(value(frame).sequence == 6);
+        const auto &message = std::get<PeerMessage>(value(frame).body);
+        CHECK(message.index() == i);
+        // The codec is deterministic, so equal bytes mean equal fields.
+        CHECK(encoded(message) == bytes);
+    }
+}
+
+TEST_CASE("fields keep their values")
+{
+    const Result<PeerFrame> frame = decodeFrame(withoutPrefix(encoded(everyMessage().front())));
+    const auto &request = std::get<GrantRequest>(std::get<PeerMessage>(value(frame).body));
+    CHECK(request.id.entry == HostId{ 11 });
+    CHECK(request.share == 2.5);
+    CHECK(request.firstTokenIn == std::chrono::milliseconds(-5));
+    CHECK(request.avoid == BackendServerId{ 13 });
+}
+
+TEST_CASE("values out of range are refused")
+{
+    GrantRequest request = std::get<GrantRequest>(everyMessage().front());
+    request.tier = tierCount;
+    CHECK(isError(decodeFrame(withoutPrefix(encoded(request)))));
+    request.tier = 0;
+    request.share = -1.0;
+    CHECK(isError(decodeFrame(withoutPrefix(encoded(request)))));
+    request.share = 1.0;
+    request.answerIn = std::chrono::hours(25);
+    CHECK(isError(decodeFrame(withoutPrefix(encoded(request)))));
+}
+
+TEST_CASE("damaged frames are refused or read, and never break the reader")
+{
+    std::mt19937 random(20);
+    int refused = 0;
+    for (int round = 0; round < 20'000; ++round) {
+        const auto messages = everyMessage();
+        std::vector<std::uint8_t> bytes = encoded(messages[random() % messages.size()]);
+        const auto flips = 1 + random() % 4;
+        for (std::uint32_t i = 0; i < flips; ++i)
+            bytes[framePrefixBytes + random() % (bytes.size() - framePrefixBytes)] =
+                static_cast<std::uint8_t>(random());
+        if (random() % 3 == 0)
+            bytes.resize(framePrefixBytes + random() % (bytes.size() - framePrefixBytes) + 1);
+        refused += isError(decodeFrame(withoutPrefix(bytes))) ? 1 : 0;
+    }
+    CHECK(refused > 0);
+}
+
+TEST_CASE("frame lengths are bounded")
+{
+    const auto lengthOf = [](std::uint32_t length) {
+        std::array<std::uint8_t, framePrefixBytes> prefix{};
+        std::memcpy(prefix.data(), &length, sizeof(length));
+        return readFrameLength(prefix);
+    };
+    CHECK(isError(lengthOf(0)));
+    CHECK_FALSE(isError(lengthOf(largestFrameBytes)));
+    CHECK(isError(lengthOf(largestFrameBytes + 1)));
+}
+
+TEST_CASE("a proof holds for its secret, side and challenge only")
+{
+    const std::string secret = "a secret of the cluster";
+    const Greeting prover{ peerProtocolVersion, HostId{ 1 }, Incarnation{ 2 }, drawNonce() };
+    const LinkNonce challenge = drawNonce();
+    const Proof proof{ proofOf(secret, prover, challenge, LinkSide::Dialer) };
+    CHECK(isProven(proof, secret, prover, challenge, LinkSide::Dialer));
+    CHECK_FALSE(isProven(proof, "another secret entirely", prover, challenge, LinkSide::Dialer));
+    CHECK_FALSE(isProven(proof, secret, prover, challenge, LinkSide::Acceptor));
+    CHECK_FALSE(isProven(proof, secret, prover, drawNonce(), LinkSide::Dialer));
+    Greeting other = prover;
+    other.host = HostId{ 3 };
+    CHECK_FALSE(isProven(proof, secret, other, challenge, LinkSide::Dialer));
+}
