Remember the owner of each grant request

Cause: the entry sent withdrawals and releases to itself, which is right only while every host owns its servers. A grant of another host would never have been released there. Change: a request remembers the host that was asked and when; a grant counts only from that host; leases are released to the host that granted them. The sender of a peer message reaches the systems.

--- a/currantreel/src/World/EntrySystem.cpp
+++ b/currantreel/src/World/EntrySystem.cpp
@@ -125,7 +125,7 @@
     askForGrant(context, m_requests.insert(row), BackendServerId());
 }
 
-void EntrySystem::askForGrant(StepContext &context, const RequestRow &row, BackendServerId avoid)
+void EntrySystem::askForGrant(StepContext &context, RequestRow &row, BackendServerId avoid)
 {
     const RequestClass *requestClass = context.configuration->classes.find(row.requestClass);
     const Workspace *workspace = context.configuration->workspaces.find(row.workspace);
@@ -146,18 +146,25 @@
         request.isWorthlessWhenLate = requestClass->late == LateRule::Worthless;
         request.isPreemptible = requestClass->isPreemptible;
     }
-    context.send(context.self.id, request);
+    row.owner = context.self.id;
+    row.askedAt = context.now;
+    context.send(row.owner, request);
 }
 
-void EntrySystem::onGranted(StepContext &context, Counters &counters, const Granted &message)
+void EntrySystem::withdraw(StepContext &context, const RequestRow &row)
+{
+    context.send(row.owner, GrantWithdrawn{ GrantId{ context.self.id, row.id } });
+}
+
+void EntrySystem::onGranted(StepContext &context, Counters &counters, HostId owner,
+                            const Granted &message)
 {
     RequestRow *row = m_requests.find(message.id.request);
     const BackendServer *server = context.configuration->backendServers.find(message.server);
-    if (!row || row->state != State::Waiting || !server) {
+    if (!row || row->state != State::Waiting || row->owner != owner || !server) {
         context.send(
-            context.self.id,
-            LeaseReleased{
-                message.id, message.lease, message.server, LeaseEnd::Cancelled, 0, {}, {} });
+            owner, LeaseReleased{
+                       message.id, message.lease, message.server, LeaseEnd::Cancelled, 0, {}, {} });
         return;
     }
     const RequestClass *requestClass = context.configuration->classes.find(row->requestClass);
@@ -167,7 +174,7 @@
     attempt.grant = message.id;
     attempt.lease = message.lease;
     attempt.server = message.server;
-    attempt.owner = context.self.id;
+    attempt.owner = owner;
     attempt.tier = requestClass ? requestClass->tier : tierCount - 1;
     attempt.startedAt = context.now;
     attempt.lastProgressAt = context.now;
@@ -179,11 +186,11 @@
     m_attempts.insert(attempt);
 }
 
-void EntrySystem::onShed(StepContext &context, Counters &counters, KeySystem &keys,
+void EntrySystem::onShed(StepContext &context, Counters &counters, KeySystem &keys, HostId owner,
                          const GrantShed &message)
 {
     const RequestRow *row = m_requests.find(message.id.request);
-    if (row && row->state == State::Waiting)
+    if (row && row->state == State::Waiting && row->owner == owner)
         refuse(context, counters, keys, *row, message.code, Outcome::NotRun, message.retryAfter);
 }
 
@@ -338,7 +345,7 @@
     }
     ++countersOf(counters, row->requestClass).abandoned;
     if (row->state == State::Waiting) {
-        context.send(context.self.id, GrantWithdrawn{ GrantId{ context.self.id, row->id } });
+        withdraw(context, *row);
         keys.finish(context, row->key, row->id, Outcome::NotRun);
     }
     if (const AttemptRow *found = m_attempts.find(row->attempt)) {
--- a/currantreel/src/World/EntrySystem.h
+++ b/currantreel/src/World/EntrySystem.h
@@ -19,8 +19,10 @@
                    const RequestArrived &event);
     void onCallerLeft(StepContext &context, Counters &counters, KeySystem &keys,
                       const CallerLeft &event);
-    void onGranted(StepContext &context, Counters &counters, const Granted &message);
-    void onShed(StepContext &context, Counters &counters, KeySystem &keys,
+    /// @param owner host that sent the grant.
+    void onGranted(StepContext &context, Counters &counters, HostId owner, const Granted &message);
+    /// @param owner host that sent the refusal.
+    void onShed(StepContext &context, Counters &counters, KeySystem &keys, HostId owner,
                 const GrantShed &message);
     void onHead(StepContext &context, Counters &counters, KeySystem &keys,
                 const AttemptHead &event);
@@ -53,6 +55,8 @@
         std::uint32_t promptTokens = 0;
         std::uint64_t prefixHash = 0;
         KeyId key;
+        HostId owner; ///< Host that was asked for a grant last.
+        TimePoint askedAt; ///< When it was asked.
         AttemptId attempt; ///< The running attempt.
         int attempts = 0;
         bool isFirstTokenLate = false;
@@ -78,7 +82,8 @@
     bool resolve(StepContext &context, const RequestArrived &event, RequestRow &row);
     bool applyKey(StepContext &context, KeySystem &keys, const RequestArrived &event,
                   RequestRow &row);
-    void askForGrant(StepContext &context, const RequestRow &row, BackendServerId avoid);
+    void askForGrant(StepContext &context, RequestRow &row, BackendServerId avoid);
+    void withdraw(StepContext &context, const RequestRow &row);
     void release(StepContext &context, const AttemptRow &attempt, LeaseEnd end);
     void retryOrRefuse(StepContext &context, Counters &counters, KeySystem &keys,
                        const AttemptRow &attempt, ResultCode code, Outcome outcome);
--- a/currantreel/src/World/World.cpp
+++ b/currantreel/src/World/World.cpp
@@ -34,7 +34,8 @@
         const OutgoingMessage outgoing = std::move(m_context.outbox.front());
         m_context.outbox.pop_front();
         if (outgoing.to == m_context.self.id)
-            std::visit([this](const auto &one) { this->receive(one); }, outgoing.message);
+            std::visit([&](const auto &one) { this->receive(m_context.self.id, one); },
+                       outgoing.message);
         else
             sendToPeer(outgoing);
     }
@@ -146,7 +147,7 @@
 template <RoutingPolicy Policy>
 void BasicWorld<Policy>::apply(const PeerMessageReceived &event)
 {
-    std::visit([this](const auto &one) { this->receive(one); }, event.message);
+    std::visit([&](const auto &one) { this->receive(event.from, one); }, event.message);
 }
 
 template <RoutingPolicy Policy>
@@ -156,37 +157,37 @@
 }
 
 template <RoutingPolicy Policy>
-void BasicWorld<Policy>::receive(const GrantRequest &message)
+void BasicWorld<Policy>::receive(HostId /*from*/, const GrantRequest &message)
 {
     m_owner.onRequest(m_context, m_counters, message);
 }
 
 template <RoutingPolicy Policy>
-void BasicWorld<Policy>::receive(const Granted &message)
+void BasicWorld<Policy>::receive(HostId from, const Granted &message)
 {
-    m_entry.onGranted(m_context, m_counters, message);
+    m_entry.onGranted(m_context, m_counters, from, message);
 }
 
 template <RoutingPolicy Policy>
-void BasicWorld<Policy>::receive(const GrantShed &message)
+void BasicWorld<Policy>::receive(HostId from, const GrantShed &message)
 {
-    m_entry.onShed(m_context, m_counters, m_keys, message);
+    m_entry.onShed(m_context, m_counters, m_keys, from, message);
 }
 
 template <RoutingPolicy Policy>
-void BasicWorld<Policy>::receive(const GrantWithdrawn &message)
+void BasicWorld<Policy>::receive(HostId /*from*/, const GrantWithdrawn &message)
 {
     m_owner.onWithdrawn(message);
 }
 
 template <RoutingPolicy Policy>
-void BasicWorld<Policy>::receive(const LeaseReleased &message)
+void BasicWorld<Policy>::receive(HostId /*from*/, const LeaseReleased &message)
 {
     m_owner.onReleased(message);
 }
 
 template <RoutingPolicy Policy>
-void BasicWorld<Policy>::receive(const LeaseRenewal &message)
+void BasicWorld<Policy>::receive(HostId /*from*/, const LeaseRenewal &message)
 {
     m_owner.onRenewal(m_context, message);
 }
--- a/currantreel/src/World/World.h
+++ b/currantreel/src/World/World.h
@@ -54,12 +54,12 @@
     void apply(const PeerMessageReceived &event);
     void apply(const StopOrdered &event);
 
-    void receive(const GrantRequest &message);
-    void receive(const Granted &message);
-    void receive(const GrantShed &message);
-    void receive(const GrantWithdrawn &message);
-    void receive(const LeaseReleased &message);
-    void receive(const LeaseRenewal &message);
+    void receive(HostId from, const GrantRequest &message);
+    void receive(HostId from, const Granted &message);
+    void receive(HostId from, const GrantShed &message);
+    void receive(HostId from, const GrantWithdrawn &message);
+    void receive(HostId from, const LeaseReleased &message);
+    void receive(HostId from, const LeaseRenewal &message);
 
     void deliver();
     void sendToPeer(const OutgoingMessage &outgoing);
