--- /dev/null
+++ b/currantreel/src/Audit/AuditTrail.cpp
@@ -0,0 +1,23 @@
+#include "AuditTrail.h"
+
+#include <utility>
+
+namespace currantreel {
+
+void AuditTrail::add(AuditRecord record)
+{
+    m_records.push_back(std::move(record));
+    if (m_records.size() > capacity)
+        m_records.pop_front();
+}
+
+const AuditRecord *AuditTrail::find(std::uint64_t position) const
+{
+    // Positions are consecutive.
+    if (m_records.empty() || position < m_records.front().position
+        || position > m_records.back().position)
+        return nullptr;
+    return &m_records[position - m_records.front().position];
+}
+
+} // namespace currantreel
--- a/currantreel/src/Configuration/Configuration.h
+++ b/currantreel/src/Configuration/Configuration.h
@@ -71,11 +71,13 @@
     Address address;
     std::vector<ModelId> models; ///< Models an engine serves.
     ServiceId service; ///< Service a plain service offers.
+    std::string serviceName;
     std::uint32_t slots = 0; ///< Most requests at once.
     std::uint32_t kvTokens = 0; ///< Tokens that an engine's memory holds; 0 if it states none.
 };
 
-/// Everything that operators declare, at one version.
+/// Everything that operators declare, at one version. The order of the rows depends on the way a host
+/// came to the version; what hosts must agree on is decided in the order of identifiers or names.
 struct Configuration
 {
     std::uint64_t version = 0; ///< 0 before the first one is read.
--- a/currantreel/src/Settings/CheckedTable.cpp
+++ b/currantreel/src/Settings/CheckedTable.cpp
@@ -197,7 +197,8 @@
 {
     for (const auto &[key, unused] : *m_table) {
         if (m_readKeys.find(key.str()) == m_readKeys.end())
-            fault(ResultCode::SettingsUnknownKey, key.str(), "the key is not known");
+            fault(ResultCode::SettingsUnknownKey, key.str(),
+                  fmt::format("the key is not known; known here: {}", fmt::join(m_readKeys, ", ")));
     }
 }
 
--- a/currantreel/src/Settings/CheckedTable.h
+++ b/currantreel/src/Settings/CheckedTable.h
@@ -48,6 +48,8 @@
     std::size_t choice(std::string_view key, const std::vector<std::string> &choices,
                        std::optional<std::size_t> fallback = std::nullopt);
 
+    /// True if the table has @p key.
+    [[nodiscard]] bool has(std::string_view key) const { return m_table->get(key) != nullptr; }
     /// Table at @p key; an empty one if it is missing.
     CheckedTable table(std::string_view key, bool isRequired = true);
     /// Tables of the array at @p key; none if it is missing.
