Queue: share workspaces fairly inside a tier, bound floor grants, check victims at compile time

Cause: a workspace with many requests starved a small one of its tier; floors of several tiers could be paid in a row; a tier with floor 0 could wait for ever. Change: a lane for each workspace, chosen by earliest deadline among those not ahead of their share; a floor grant is followed by one of the highest tier; a tier without a grant for 5 s is owed one; the victim's tier is a constexpr function checked for every case. Late requests fall back to the end of their bounded wait; worthless ones expire when the target can no longer be met. Conclusion: property tests over random queues hold.

--- a/currantreel/src/Admission/GrantQueue.h
+++ b/currantreel/src/Admission/GrantQueue.h
@@ -15,6 +15,9 @@
     TimePoint firstTokenBy;
     TimePoint answerBy;
     TimePoint grantBy; ///< End of the bounded wait.
+    Duration firstTokenAfter{}; ///< Expected time from the grant to the first token.
+    std::uint64_t sequence = 0; ///< Order of arrival; set by the queue.
+    bool isPostponed = false; ///< Late already; set by the queue.
 };
 
 /// A queue which decides who is granted next. One queue serves one target.
@@ -48,6 +51,34 @@
         } -> std::convertible_to<std::size_t>;
 };
 
+/// A queue that shows whom it would grant next, so that a grant which fits nowhere stays in its place.
+template <typename Queue>
+concept PeekableGrantQueue = GrantQueue<Queue> && requires(Queue queue, TimePoint now, bool mayPay)
+{
+    {
+        queue.next(now, mayPay)
+        } -> std::same_as<const QueuedGrant *>;
+    {
+        queue.pop(now, mayPay)
+        } -> std::same_as<std::optional<QueuedGrant>>;
+};
+
+/// A queue that can tell how long a newcomer would wait and how much each workspace occupies.
+template <typename Queue>
+concept MeasuredGrantQueue = GrantQueue<Queue> && requires(const Queue &queue, QueuedGrant grant,
+                                                           Tier tier, WorkspaceId workspace)
+{
+    {
+        queue.ahead(grant)
+        } -> std::convertible_to<double>;
+    {
+        queue.sizeUpTo(tier)
+        } -> std::convertible_to<std::size_t>;
+    {
+        queue.sizeOf(tier, workspace)
+        } -> std::convertible_to<std::size_t>;
+};
+
 } // namespace currantreel
 
 #endif
--- a/currantreel/src/Admission/TieredQueue.cpp
+++ b/currantreel/src/Admission/TieredQueue.cpp
@@ -1,7 +1,6 @@
 #include "TieredQueue.h"
 
 #include <algorithm>
-#include <iterator>
 
 namespace currantreel {
 
@@ -13,98 +12,154 @@
 /// Most that a tier can be owed, so that a long wait cannot lead to a long run of floor grants.
 constexpr std::int64_t largestDeficit = 2 * wholeGrant;
 
+/// What a tier is owed at first: half a grant, so that a floor is also met in short spans.
+constexpr std::int64_t firstDeficit = wholeGrant / 2;
+
 } // namespace
 
 TieredQueue::TieredQueue(const std::vector<std::uint32_t> &floorPermille)
 {
     const std::size_t count = std::min<std::size_t>(floorPermille.size(), tierCount);
     std::copy_n(floorPermille.begin(), count, m_floors.begin());
+    m_deficits.fill(firstDeficit);
+}
+
+TieredQueue::Expiry TieredQueue::expiryOf(const QueuedGrant &grant)
+{
+    const TimePoint latestStart = grant.firstTokenBy - grant.firstTokenAfter;
+    const bool endsEarly = grant.request.isWorthlessWhenLate && latestStart < grant.grantBy;
+    return { endsEarly ? latestStart : grant.grantBy, grant.sequence };
+}
+
+TierCounts TieredQueue::counts() const
+{
+    TierCounts counts{};
+    for (Tier tier = 0; tier < tierCount; ++tier)
+        counts[tier] = m_tiers[tier].size();
+    return counts;
 }
 
 void TieredQueue::push(QueuedGrant grant)
 {
     remove(grant.request.id);
-    const Tier tier = std::min<Tier>(grant.request.tier, tierCount - 1);
-    const Position position{ grant.firstTokenBy, m_nextSequence++, tier };
-    m_positions.emplace(grant.request.id, position);
-    m_expiries.emplace(std::pair(grant.grantBy, position.sequence), grant.request.id);
-    m_lanes[tier].emplace(position, std::move(grant));
+    grant.request.tier = std::min<Tier>(grant.request.tier, tierCount - 1);
+    grant.sequence = m_nextSequence++;
+    grant.isPostponed = false;
+    const Tier tier = grant.request.tier;
+    if (m_tiers[tier].size() == 0)
+        m_waitingSince[tier] = grant.queuedAt;
+    m_expiries.emplace(expiryOf(grant), grant.request.id);
+    m_tiers[tier].push(std::move(grant));
 }
 
 bool TieredQueue::remove(GrantId id)
 {
-    const auto found = m_positions.find(id);
-    if (found == m_positions.end())
+    const auto lanes = std::find_if(m_tiers.begin(), m_tiers.end(),
+                                    [id](const WorkspaceLanes &one) { return one.contains(id); });
+    if (lanes == m_tiers.end())
         return false;
-    const Position position = found->second;
-    Lane &lane = m_lanes[position.tier];
-    take(position.tier, lane.find(position));
+    m_expiries.erase(expiryOf(lanes->remove(id)));
     return true;
 }
 
-std::optional<QueuedGrant> TieredQueue::take(Tier tier, Lane::iterator position)
-{
-    QueuedGrant grant = std::move(position->second);
-    m_expiries.erase(std::pair(grant.grantBy, position->first.sequence));
-    m_positions.erase(grant.request.id);
-    m_lanes[tier].erase(position);
-    return grant;
-}
-
 std::optional<Tier> TieredQueue::bestTier() const
 {
     for (Tier tier = 0; tier < tierCount; ++tier) {
-        if (!m_lanes[tier].empty())
+        if (m_tiers[tier].size() > 0)
             return tier;
     }
     return std::nullopt;
 }
 
-std::optional<Tier> TieredQueue::owedTier() const
+bool TieredQueue::isOwed(Tier tier, TimePoint now) const
 {
-    for (Tier tier = 0; tier < tierCount; ++tier) {
-        if (!m_lanes[tier].empty() && m_deficits[tier] >= wholeGrant)
-            return tier;
+    if (m_tiers[tier].size() == 0)
+        return false;
+    return m_deficits[tier] >= wholeGrant || now - m_waitingSince[tier] >= floorWait;
+}
+
+std::optional<Tier> TieredQueue::chooseTier(TimePoint now, bool mayPayFloor) const
+{
+    const std::optional<Tier> best = bestTier();
+    if (!best || m_wasFloor || !mayPayFloor)
+        return best;
+    std::optional<Tier> owed;
+    for (Tier tier = *best + 1; tier < tierCount; ++tier) {
+        // Of two that are owed a grant, the one that has waited longer without one goes first.
+        if (isOwed(tier, now) && (!owed || m_waitingSince[tier] < m_waitingSince[*owed]))
+            owed = tier;
     }
-    return std::nullopt;
+    return owed ? owed : best;
 }
 
-void TieredQueue::payFloors(Tier granted)
+void TieredQueue::payFloors(Tier granted, TimePoint now)
 {
+    m_wasFloor = granted != bestTier();
     for (Tier tier = 0; tier < tierCount; ++tier) {
-        if (m_lanes[tier].empty())
-            continue;
-        m_deficits[tier] = std::min(m_deficits[tier] + m_floors[tier], largestDeficit);
+        if (m_tiers[tier].size() > 0)
+            m_deficits[tier] = std::min(m_deficits[tier] + m_floors[tier], largestDeficit);
     }
     m_deficits[granted] = std::max<std::int64_t>(m_deficits[granted] - wholeGrant, 0);
+    m_waitingSince[granted] = now;
 }
 
-std::optional<QueuedGrant> TieredQueue::pop(TimePoint /*now*/)
+const QueuedGrant *TieredQueue::next(TimePoint now, bool mayPayFloor)
 {
-    std::optional<Tier> tier = owedTier();
-    if (!tier)
-        tier = bestTier();
+    const std::optional<Tier> tier = chooseTier(now, mayPayFloor);
+    return tier ? m_tiers[*tier].next(now) : nullptr;
+}
+
+std::optional<QueuedGrant> TieredQueue::pop(TimePoint now, bool mayPayFloor)
+{
+    const std::optional<Tier> tier = chooseTier(now, mayPayFloor);
     if (!tier)
         return std::nullopt;
-    payFloors(*tier);
-    return take(*tier, m_lanes[*tier].begin());
+    payFloors(*tier, now);
+    m_tiers[*tier].next(now);
+    QueuedGrant grant = m_tiers[*tier].takeNext();
+    m_expiries.erase(expiryOf(grant));
+    return grant;
 }
 
 std::optional<QueuedGrant> TieredQueue::popVictim(Tier newcomer)
 {
-    for (Tier tier = tierCount; tier-- > newcomer + 1;) {
-        if (!m_lanes[tier].empty())
-            return take(tier, std::prev(m_lanes[tier].end()));
-    }
-    return std::nullopt;
+    const std::optional<Tier> tier = victimTier(counts(), newcomer);
+    if (!tier)
+        return std::nullopt;
+    QueuedGrant grant = m_tiers[*tier].takeLast();
+    m_expiries.erase(expiryOf(grant));
+    return grant;
 }
 
 std::optional<QueuedGrant> TieredQueue::popExpired(TimePoint now)
 {
     if (m_expiries.empty() || m_expiries.begin()->first.first > now)
         return std::nullopt;
-    const Position position = m_positions.at(m_expiries.begin()->second);
-    return take(position.tier, m_lanes[position.tier].find(position));
+    const GrantId id = m_expiries.begin()->second;
+    m_expiries.erase(m_expiries.begin());
+    const auto lanes = std::find_if(m_tiers.begin(), m_tiers.end(),
+                                    [id](const WorkspaceLanes &one) { return one.contains(id); });
+    return lanes->remove(id);
+}
+
+std::size_t TieredQueue::sizeUpTo(Tier tier) const
+{
+    std::size_t total = 0;
+    for (Tier higher = 0; higher <= tier; ++higher)
+        total += m_tiers.at(higher).size();
+    return total;
+}
+
+std::size_t TieredQueue::sizeOf(Tier tier, WorkspaceId workspace) const
+{
+    return m_tiers.at(tier).sizeOf(workspace);
+}
+
+double TieredQueue::ahead(const QueuedGrant &grant) const
+{
+    const Tier tier = std::min<Tier>(grant.request.tier, tierCount - 1);
+    const std::size_t higher = tier > 0 ? sizeUpTo(tier - 1) : 0;
+    return static_cast<double>(higher) + m_tiers[tier].ahead(grant);
 }
 
 } // namespace currantreel
--- a/currantreel/src/Admission/TieredQueue.h
+++ b/currantreel/src/Admission/TieredQueue.h
@@ -2,17 +2,26 @@
 #define CURRANTREEL_ADMISSION_TIEREDQUEUE_H
 
 #include "GrantQueue.h"
+#include "VictimRule.h"
+#include "WorkspaceLanes.h"
 #include <array>
 #include <map>
 #include <optional>
-#include <unordered_map>
 
 namespace currantreel {
 
-/// Strict tiers, earliest deadline first inside a tier, with a floor share of grants for each tier.
+/// Strict tiers with a floor share of grants for each; inside a tier, earliest deadline first among
+/// the workspaces that are owed a grant.
+///
+/// A floor grant is never followed by another one while a higher tier waits, so that a higher tier is
+/// delayed by one grant at a time. A tier that has waited for `floorWait` without a grant is owed
+/// one whatever its floor.
 class TieredQueue
 {
 public:
+    /// Longest time that a tier waits without a grant before the next floor grant is its own.
+    static constexpr Duration floorWait = std::chrono::seconds(5);
+
     explicit TieredQueue(const std::vector<std::uint32_t> &floorPermille = {});
 
     /// Adds @p grant; a grant with the same identifier is replaced.
@@ -21,43 +30,47 @@
     /// Removes the grant @p id. Returns whether it waited here.
     bool remove(GrantId id);
 
+    /// The grant that `pop` would take, or nullptr. Valid until the queue changes.
+    /// @param mayPayFloor whether a tier whose floor is owed may go before a higher one.
+    const QueuedGrant *next(TimePoint now, bool mayPayFloor = true);
+
     /// Takes the next to be granted: a tier whose floor is owed, else the highest tier that waits.
-    std::optional<QueuedGrant> pop(TimePoint now);
+    std::optional<QueuedGrant> pop(TimePoint now, bool mayPayFloor = true);
 
     /// Takes the one to shed in favour of a newcomer of tier @p newcomer: the last deadline of the
     /// lowest tier present, if that tier is below the newcomer's; nothing otherwise.
     std::optional<QueuedGrant> popVictim(Tier newcomer);
 
-    /// Takes one whose bounded wait has ended, if there is any.
+    /// Takes one whose bounded wait has ended, or whose answer would be worthless, if there is any.
     std::optional<QueuedGrant> popExpired(TimePoint now);
 
     /// Highest tier that waits.
     [[nodiscard]] std::optional<Tier> bestTier() const;
 
-    [[nodiscard]] std::size_t size() const { return m_positions.size(); }
+    [[nodiscard]] std::size_t size() const { return m_expiries.size(); }
+    /// Grants of tier @p tier and of higher tiers that wait.
+    [[nodiscard]] std::size_t sizeUpTo(Tier tier) const;
+    /// Grants of @p workspace that wait in tier @p tier.
+    [[nodiscard]] std::size_t sizeOf(Tier tier, WorkspaceId workspace) const;
+    /// Estimated number of grants to be made before @p grant, were it pushed now.
+    [[nodiscard]] double ahead(const QueuedGrant &grant) const;
 
 private:
-    /// Orders a tier by deadline, then by arrival.
-    struct Position
-    {
-        TimePoint deadline;
-        std::uint64_t sequence = 0;
-        Tier tier = 0;
-
-        friend auto operator<=>(const Position &, const Position &) = default;
-    };
-    using Lane = std::map<Position, QueuedGrant>;
-
-    std::optional<QueuedGrant> take(Tier tier, Lane::iterator position);
-    [[nodiscard]] std::optional<Tier> owedTier() const;
-    void payFloors(Tier granted);
-
-    std::array<Lane, tierCount> m_lanes;
+    using Expiry = std::pair<TimePoint, std::uint64_t>;
+
+    static Expiry expiryOf(const QueuedGrant &grant);
+    [[nodiscard]] TierCounts counts() const;
+    [[nodiscard]] std::optional<Tier> chooseTier(TimePoint now, bool mayPayFloor) const;
+    [[nodiscard]] bool isOwed(Tier tier, TimePoint now) const;
+    void payFloors(Tier granted, TimePoint now);
+
+    std::array<WorkspaceLanes, tierCount> m_tiers;
     std::array<std::int64_t, tierCount> m_deficits{}; ///< Thousandths of a grant owed to a tier.
     std::array<std::uint32_t, tierCount> m_floors{};
-    std::map<std::pair<TimePoint, std::uint64_t>, GrantId> m_expiries;
-    std::unordered_map<GrantId, Position> m_positions;
+    std::array<TimePoint, tierCount> m_waitingSince{}; ///< Last grant, or start of the wait.
+    std::map<Expiry, GrantId> m_expiries;
     std::uint64_t m_nextSequence = 1;
+    bool m_wasFloor = false; ///< The last grant went to a tier below one that waited.
 };
 
 static_assert(GrantQueue<TieredQueue>, "TieredQueue must offer every operation of GrantQueue");
--- a/test/AdmissionTest.cpp
+++ b/test/AdmissionTest.cpp
@@ -1,6 +1,7 @@
 #include <currantreel/Admission>
 #include <doctest/doctest.h>
 #include <random>
+#include <set>
 
 using namespace currantreel;
 
@@ -62,3 +63,116 @@
     CHECK(lowGrants >= 9);
     CHECK(lowGrants <= 11);
 }
+
+TEST_CASE(
+    "a floor grant never delays a higher tier by more than one grant, and every floor is paid")
+{
+    const std::vector<std::uint32_t> floors{ 0, 0, 50, 30, 20 };
+    TieredQueue queue(floors);
+    std::uint64_t next = 1;
+    for (Tier tier = 0; tier < tierCount; ++tier) {
+        for (int i = 0; i < 1000; ++i)
+            queue.push(grantOf(next++, tier, i));
+    }
+    TierCounts granted{};
+    bool wasFloor = false;
+    for (int i = 0; i < 1000; ++i) {
+        const Tier best = *queue.bestTier();
+        const Tier tier = queue.pop(TimePoint())->request.tier;
+        CHECK_FALSE((wasFloor && tier != best));
+        wasFloor = tier != best;
+        ++granted.at(tier);
+    }
+    for (Tier tier = 1; tier < tierCount; ++tier)
+        CHECK(granted.at(tier) >= floors[tier]);
+}
+
+TEST_CASE("a tier without a floor is granted after a bounded wait")
+{
+    TieredQueue queue;
+    queue.push(grantOf(1, 4, 0));
+    for (std::uint64_t i = 2; i < 100; ++i)
+        queue.push(grantOf(i, 0, 0));
+    CHECK(queue.pop(TimePoint())->request.tier == 0);
+    CHECK(queue.pop(TimePoint(TieredQueue::floorWait))->request.tier == 4);
+    CHECK(queue.pop(TimePoint(TieredQueue::floorWait))->request.tier == 0);
+}
+
+TEST_CASE("a workspace with ten times the requests does not starve a small one of the same tier")
+{
+    TieredQueue queue;
+    for (std::uint64_t i = 1; i <= 1100; ++i) {
+        QueuedGrant grant = grantOf(i, 1, static_cast<int>(i));
+        grant.request.workspace = WorkspaceId{ i <= 1000 ? 1U : 2U };
+        queue.push(grant);
+    }
+    int small = 0;
+    for (int i = 0; i < 200; ++i)
+        small += queue.pop(TimePoint())->request.workspace == WorkspaceId{ 2 } ? 1 : 0;
+    // Equal shares are 100 of 200; the deadlines may shift at most the allowance.
+    CHECK(small >= 96);
+}
+
+TEST_CASE("grants of a tier follow the shares of the workspaces that wait")
+{
+    TieredQueue queue;
+    for (std::uint64_t i = 1; i <= 1000; ++i) {
+        QueuedGrant grant = grantOf(i, 1, 5);
+        grant.request.workspace = WorkspaceId{ 1 + i % 2 };
+        grant.request.share = i % 2 == 0 ? 3.0 : 1.0;
+        queue.push(grant);
+    }
+    int large = 0;
+    for (int i = 0; i < 400; ++i)
+        large += queue.pop(TimePoint())->request.workspace == WorkspaceId{ 1 } ? 1 : 0;
+    CHECK(large >= 294);
+    CHECK(large <= 306);
+}
+
+TEST_CASE("a late grant does not make the next one late, and work that is worthless late expires")
+{
+    TieredQueue queue;
+    queue.push(grantOf(1, 1, 10));
+    queue.push(grantOf(2, 1, 60));
+    QueuedGrant worthless = grantOf(3, 1, 30);
+    worthless.request.isWorthlessWhenLate = true;
+    worthless.firstTokenAfter = std::chrono::milliseconds(10);
+    queue.push(worthless);
+    const TimePoint now{ std::chrono::milliseconds(25) };
+    CHECK(queue.popExpired(now)->request.id.request == RequestId{ 3 });
+    CHECK_FALSE(queue.popExpired(now).has_value());
+    CHECK(queue.pop(now)->request.id.request == RequestId{ 2 });
+    CHECK(queue.pop(now)->request.id.request == RequestId{ 1 });
+}
+
+TEST_CASE("random operations lose no grant and give each one out once")
+{
+    std::mt19937 random(11);
+    TieredQueue queue({ 0, 0, 50, 30, 20 });
+    std::set<std::uint64_t> waiting;
+    const auto give = [&](const std::optional<QueuedGrant> &grant) {
+        if (grant)
+            CHECK(waiting.erase(grant->request.id.request.value) == 1);
+    };
+    for (std::uint64_t i = 1; i <= 20'000; ++i) {
+        const TimePoint now{ std::chrono::milliseconds(i) };
+        QueuedGrant grant = grantOf(i, static_cast<Tier>(random() % tierCount),
+                                    static_cast<int>(i + random() % 3000));
+        grant.queuedAt = now;
+        grant.request.workspace = WorkspaceId{ 1 + random() % 50 };
+        grant.request.share = 1.0 + static_cast<double>(random() % 4);
+        grant.request.isWorthlessWhenLate = random() % 4 == 0;
+        grant.grantBy = now + std::chrono::milliseconds(random() % 4000);
+        queue.push(grant);
+        waiting.insert(i);
+        if (random() % 3 != 0)
+            give(queue.pop(now));
+        if (random() % 5 == 0)
+            give(queue.popVictim(static_cast<Tier>(random() % tierCount)));
+        give(queue.popExpired(now));
+        const std::uint64_t withdrawn = 1 + random() % i;
+        CHECK(queue.remove(GrantId{ HostId{ 1 }, RequestId{ withdrawn } })
+              == (waiting.erase(withdrawn) == 1));
+        CHECK(queue.size() == waiting.size());
+    }
+}
