Tell the truth under stop, pause, silence and duplicates

Cause: a stopping host answered not_run for a duplicate of a run in progress; so did any refusal that came before the key was looked up (unknown class, full table, other body), and a shed after an attempt that had been written. A grant or an effect that waited out a pause was used as if fresh. A silent owner was waited for without end. Rows of joined duplicates were never removed, so a stop never completed after one. Change: the key is claimed before anything may refuse; a refusal of a first copy burns the key; where the key cannot be burnt the outcome is unknown. A request remembers that an attempt may have run. Grants older than their lease, or received in the first step after a pause, go back and are asked for again; an attempt carries the end of its lease and the shell starts none after it. An owner silent for a lease period is asked again, with the time that is left. A request whose first caller left goes on while a duplicate waits for it.

--- a/currantreel/src/Keys/KeyTable.cpp
+++ b/currantreel/src/Keys/KeyTable.cpp
@@ -70,6 +70,12 @@
     return KeyState::Burnt;
 }
 
+bool KeyTable::hasJoined(KeyId id) const
+{
+    const Row *row = m_rows.find(id);
+    return row && !row->joined.empty();
+}
+
 void KeyTable::leave(KeyId id, RequestId request)
 {
     if (Row *row = m_rows.find(id))
--- a/currantreel/src/Keys/KeyTable.h
+++ b/currantreel/src/Keys/KeyTable.h
@@ -46,6 +46,9 @@
     /// has expired or the table is full, in which case nobody can tell.
     std::optional<KeyState> askState(const IdempotencyKey &key, TimePoint now);
 
+    /// True if a request waits for the run under @p id.
+    [[nodiscard]] bool hasJoined(KeyId id) const;
+
     /// Forgets a joined request whose caller left.
     void leave(KeyId id, RequestId request);
 
--- a/currantreel/src/Shell/CallerFront.cpp
+++ b/currantreel/src/Shell/CallerFront.cpp
@@ -57,6 +57,12 @@
     return { reinterpret_cast<const char *>(bytes), length };
 }
 
+/// Outcome of a request that is refused before its key was looked up: an earlier copy may have run.
+Outcome outcomeOfUnread(evhttp_request *request)
+{
+    return headerOf(request, "Idempotency-Key").empty() ? Outcome::NotRun : Outcome::Unknown;
+}
+
 } // namespace
 
 /// One caller's exchange.
@@ -139,7 +145,8 @@
 {
     const std::string path = pathOf(request);
     if (m_exchanges.size() >= m_settings->limits.requests) {
-        sendError(request, ResultCode::QueueFull, Outcome::NotRun, std::chrono::seconds(1));
+        sendError(request, ResultCode::QueueFull, outcomeOfUnread(request),
+                  std::chrono::seconds(1));
         return;
     }
     if (path.compare(0, keyPath.size(), keyPath) == 0) {
@@ -148,7 +155,7 @@
     }
     Result<RequestArrived> read = readCallerRequest(request);
     if (isError(read)) {
-        sendError(request, error(read).code, Outcome::NotRun, {}, error(read).detail);
+        sendError(request, error(read).code, outcomeOfUnread(request), {}, error(read).detail);
         return;
     }
     Exchange &exchange = open(request);
--- a/currantreel/src/Shell/Daemon.cpp
+++ b/currantreel/src/Shell/Daemon.cpp
@@ -135,6 +135,15 @@
     m_peers.send(effect.to, effect.address, effect.message);
 }
 
+void Daemon::handle(const StartAttempt &effect)
+{
+    // The process may have been paused since the step that granted the slot.
+    if (now() > effect.notAfter)
+        post(AttemptFailed{ effect.attempt, false });
+    else
+        m_callers.handle(effect);
+}
+
 void Daemon::handle(const ConfigurationInForce &effect)
 {
     m_log.write("configuration_in_force", { { "version", std::to_string(effect.version) },
--- a/currantreel/src/Shell/Daemon.h
+++ b/currantreel/src/Shell/Daemon.h
@@ -26,6 +26,7 @@
     void post(Event event);
     void tick();
     void stop();
+    void handle(const StartAttempt &effect);
     void handle(const SendPeer &effect);
     void handle(const ConfigurationInForce &effect);
     void handle(const StopCompleted &effect);
--- a/currantreel/src/World/Effect.h
+++ b/currantreel/src/World/Effect.h
@@ -23,6 +23,7 @@
     BackendServerId server;
     Address address;
     Tier tier = 0; ///< Priority to tell the engine.
+    TimePoint notAfter; ///< End of the lease: nothing may be sent later.
 };
 
 /// Stop an attempt and close its connection.
--- a/currantreel/src/World/EntrySystem.cpp
+++ b/currantreel/src/World/EntrySystem.cpp
@@ -2,17 +2,18 @@
 
 #include "OwnerSystem.h"
 #include "Timing.h"
-#include <map>
+#include <algorithm>
 
 namespace currantreel {
 
 namespace {
 
-constexpr int firstServerError = 500;
-
-void refuseUnresolved(StepContext &context, RequestId request, ResultCode code)
+bool canServe(const BackendServer &server, TargetId target)
 {
-    context.emit(RefuseRequest{ request, code, Outcome::NotRun, {} });
+    if (server.kind == BackendKind::Service)
+        return targetOfService(server.service) == target;
+    return std::any_of(server.models.begin(), server.models.end(),
+                       [target](ModelId model) { return targetOfModel(model) == target; });
 }
 
 } // namespace
@@ -28,60 +29,55 @@
     return counters.classes.insert(row);
 }
 
-bool EntrySystem::resolve(StepContext &context, const RequestArrived &event, RequestRow &row)
+std::optional<ResultCode> EntrySystem::resolve(const StepContext &context,
+                                               const RequestArrived &event, RequestRow &row)
 {
     const Configuration &configuration = *context.configuration;
-    if (configuration.version == 0) {
-        refuseUnresolved(context, event.request, ResultCode::RequestNoConfiguration);
-        return false;
-    }
+    if (configuration.version == 0)
+        return ResultCode::RequestNoConfiguration;
     const Workspace *workspace =
         configuration.workspaces.find(WorkspaceId::ofName(event.workspace));
-    if (!workspace) {
-        refuseUnresolved(context, event.request, ResultCode::RequestUnknownWorkspace);
-        return false;
-    }
+    if (!workspace)
+        return ResultCode::RequestUnknownWorkspace;
     row.workspace = workspace->id;
     row.requestClass =
         event.className.empty() ? workspace->defaultClass : ClassId::ofName(event.className);
-    if (!configuration.classes.find(row.requestClass)) {
-        refuseUnresolved(context, event.request, ResultCode::RequestUnknownClass);
-        return false;
-    }
-    if (event.kind == RequestKind::Service) {
-        row.target = targetOfService(ServiceId::ofName(event.target));
-        for (const BackendServer &server : configuration.backendServers) {
-            if (server.kind == BackendKind::Service
-                && targetOfService(server.service) == row.target)
-                return true;
-        }
-        refuseUnresolved(context, event.request, ResultCode::RequestUnknownService);
-        return false;
-    }
+    const RequestClass *requestClass = configuration.classes.find(row.requestClass);
+    if (!requestClass)
+        return ResultCode::RequestUnknownClass;
+    row.firstTokenBy = context.now + requestClass->firstTokenTarget;
+    row.answerBy = context.now + event.deadline.value_or(requestClass->answerTarget);
+    return event.kind == RequestKind::Service ? resolveService(configuration, event, row)
+                                              : resolveModel(configuration, event, row);
+}
+
+std::optional<ResultCode> EntrySystem::resolveService(const Configuration &configuration,
+                                                      const RequestArrived &event, RequestRow &row)
+{
+    row.target = targetOfService(ServiceId::ofName(event.target));
+    const auto &servers = configuration.backendServers;
+    const bool isKnown =
+        std::any_of(servers.begin(), servers.end(),
+                    [&](const BackendServer &server) { return canServe(server, row.target); });
+    if (isKnown)
+        return std::nullopt;
+    return ResultCode::RequestUnknownService;
+}
+
+std::optional<ResultCode> EntrySystem::resolveModel(const Configuration &configuration,
+                                                    const RequestArrived &event, RequestRow &row)
+{
     const ModelId model = ModelId::ofName(event.target);
     row.target = targetOfModel(model);
     if (configuration.models.find(model))
-        return true;
-    refuseUnresolved(context, event.request, ResultCode::RequestUnknownModel);
-    return false;
+        return std::nullopt;
+    return ResultCode::RequestUnknownModel;
 }
 
-bool EntrySystem::applyKey(StepContext &context, KeySystem &keys, const RequestArrived &event,
+bool EntrySystem::claimKey(StepContext &context, KeySystem &keys, const RequestArrived &event,
                            RequestRow &row)
 {
-    const RequestClass &requestClass = *context.configuration->classes.find(row.requestClass);
-    std::string key = event.idempotencyKey;
-    if (key.empty() && requestClass.keys == KeyRule::Required) {
-        refuseUnresolved(context, event.request, ResultCode::KeyRequired);
-        return false;
-    }
-    if (key.empty()) {
-        if (requestClass.repeat == RepeatRule::Idempotent)
-            return true;
-        key = keys.issue(context);
-        context.emit(KeyAssigned{ event.request, key });
-    }
-    const KeyDecision decision = keys.claim(context, key, event);
+    const KeyDecision decision = keys.claim(context, event.idempotencyKey, event);
     row.key = decision.key;
     switch (decision.action) {
     case KeyDecision::Action::Run:
@@ -106,25 +102,65 @@
     return false;
 }
 
+std::optional<ResultCode> EntrySystem::assignKey(StepContext &context, KeySystem &keys,
+                                                 const RequestArrived &event, RequestRow &row)
+{
+    const RequestClass &requestClass = *context.configuration->classes.find(row.requestClass);
+    if (requestClass.keys == KeyRule::Required)
+        return ResultCode::KeyRequired;
+    if (requestClass.repeat == RepeatRule::Idempotent)
+        return std::nullopt;
+    const std::string key = keys.issue(context);
+    const KeyDecision decision = keys.claim(context, key, event);
+    if (decision.action != KeyDecision::Action::Run)
+        return decision.code;
+    row.key = decision.key;
+    context.emit(KeyAssigned{ event.request, key });
+    return std::nullopt;
+}
+
 void EntrySystem::onArrived(StepContext &context, Counters &counters, KeySystem &keys,
-                            const RequestArrived &event)
+                            const RequestArrived &event, bool isStopping)
 {
     RequestRow row;
     row.id = event.request;
     row.arrivedAt = context.now;
     row.promptTokens = event.promptTokens;
     row.prefixHash = event.prefixHash;
-    if (!resolve(context, event, row))
+    // What became of a key is told before anything else can refuse the request, for a duplicate of a
+    // run must never hear "not run".
+    const bool hasKey = !event.idempotencyKey.empty();
+    if (hasKey && !claimKey(context, keys, event, row))
         return;
-    const RequestClass &requestClass = *context.configuration->classes.find(row.requestClass);
-    row.firstTokenBy = context.now + requestClass.firstTokenTarget;
-    row.answerBy = context.now + event.deadline.value_or(requestClass.answerTarget);
-    if (!applyKey(context, keys, event, row))
+    std::optional<ResultCode> fault =
+        isStopping ? ResultCode::Stopping : resolve(context, event, row);
+    if (!fault && !hasKey)
+        fault = assignKey(context, keys, event, row);
+    if (fault) {
+        context.emit(RefuseRequest{ event.request, *fault, Outcome::NotRun, {} });
+        finishKey(context, keys, row.key, row.id, Outcome::NotRun);
         return;
+    }
     ++countersOf(counters, row.requestClass).arrived;
     askForGrant(context, m_requests.insert(row), BackendServerId());
 }
 
+HostId EntrySystem::ownerOf(const StepContext &context, TargetId target)
+{
+    HostId elsewhere = context.self.id;
+    for (const BackendServer &server : context.configuration->backendServers) {
+        if (!canServe(server, target))
+            continue;
+        if (server.failureDomain == context.self.failureDomain)
+            return context.self.id;
+        for (const HostEntry &host : context.hosts) {
+            if (host.failureDomain == server.failureDomain && host.liveness == Liveness::Live)
+                elsewhere = host.id;
+        }
+    }
+    return elsewhere;
+}
+
 void EntrySystem::askForGrant(StepContext &context, RequestRow &row, BackendServerId avoid)
 {
     const RequestClass *requestClass = context.configuration->classes.find(row.requestClass);
@@ -142,11 +178,11 @@
     request.avoid = avoid;
     if (requestClass) {
         request.tier = requestClass->tier;
-        request.queueBound = requestClass->queueBound;
+        request.queueBound = requestClass->queueBound - (context.now - row.arrivedAt);
         request.isWorthlessWhenLate = requestClass->late == LateRule::Worthless;
         request.isPreemptible = requestClass->isPreemptible;
     }
-    row.owner = context.self.id;
+    row.owner = ownerOf(context, row.target);
     row.askedAt = context.now;
     context.send(row.owner, request);
 }
@@ -156,33 +192,61 @@
     context.send(row.owner, GrantWithdrawn{ GrantId{ context.self.id, row.id } });
 }
 
-void EntrySystem::onGranted(StepContext &context, Counters &counters, HostId owner,
+bool EntrySystem::isStale(const StepContext &context, const RequestRow &row, const Granted &message)
+{
+    // A grant of this host itself is delivered in the step that made it.
+    if (row.owner == context.self.id)
+        return false;
+    return context.isAfterPause || context.now - row.askedAt > message.leaseFor;
+}
+
+bool EntrySystem::isWorthless(const StepContext &context, const RequestRow &row)
+{
+    const RequestClass *requestClass = context.configuration->classes.find(row.requestClass);
+    return requestClass && requestClass->late == LateRule::Worthless && context.now > row.answerBy;
+}
+
+void EntrySystem::onGranted(StepContext &context, Counters &counters, KeySystem &keys, HostId owner,
                             const Granted &message)
 {
     RequestRow *row = m_requests.find(message.id.request);
     const BackendServer *server = context.configuration->backendServers.find(message.server);
-    if (!row || row->state != State::Waiting || row->owner != owner || !server) {
-        context.send(
-            owner, LeaseReleased{
-                       message.id, message.lease, message.server, LeaseEnd::Cancelled, 0, {}, {} });
+    const bool isAwaited = row && row->state == State::Waiting && row->owner == owner;
+    if (isAwaited && server && !isStale(context, *row, message) && !isWorthless(context, *row)) {
+        startAttempt(context, counters, *row, *server, message);
         return;
     }
-    const RequestClass *requestClass = context.configuration->classes.find(row->requestClass);
+    context.send(
+        owner,
+        LeaseReleased{ message.id, message.lease, message.server, LeaseEnd::Cancelled, 0, {}, {} });
+    if (!isAwaited)
+        return;
+    if (isWorthless(context, *row))
+        refuse(context, counters, keys, *row, ResultCode::AnswerLate, Outcome::NotRun, {});
+    else
+        askForGrant(context, *row, BackendServerId());
+}
+
+void EntrySystem::startAttempt(StepContext &context, Counters &counters, RequestRow &row,
+                               const BackendServer &server, const Granted &message)
+{
+    const RequestClass *requestClass = context.configuration->classes.find(row.requestClass);
     AttemptRow attempt;
     attempt.id = AttemptId{ m_nextAttempt++ };
-    attempt.request = row->id;
+    attempt.request = row.id;
     attempt.grant = message.id;
     attempt.lease = message.lease;
     attempt.server = message.server;
-    attempt.owner = owner;
+    attempt.owner = row.owner;
     attempt.tier = requestClass ? requestClass->tier : tierCount - 1;
     attempt.startedAt = context.now;
     attempt.lastProgressAt = context.now;
-    row->state = State::Running;
-    row->attempt = attempt.id;
-    ++row->attempts;
+    row.state = State::Running;
+    row.attempt = attempt.id;
+    ++row.attempts;
     ++counters.attempts;
-    context.emit(StartAttempt{ attempt.id, row->id, server->id, server->address, attempt.tier });
+    context.emit(StartAttempt{ attempt.id, row.id, server.id, server.address, attempt.tier,
+                               context.now + message.leaseFor });
     m_attempts.insert(attempt);
 }
 
@@ -194,168 +258,64 @@
         refuse(context, counters, keys, *row, message.code, Outcome::NotRun, message.retryAfter);
 }
 
-void EntrySystem::onHead(StepContext &context, Counters &counters, KeySystem &keys,
-                         const AttemptHead &event)
+void EntrySystem::onHostLost(StepContext &context, HostId host)
 {
-    AttemptRow *attempt = m_attempts.find(event.attempt);
-    if (!attempt)
-        return;
-    attempt->lastProgressAt = context.now;
-    if (event.saysNotRun) {
-        context.emit(CancelAttempt{ attempt->id });
-        retryOrRefuse(context, counters, keys, *attempt, ResultCode::BackendServerRefused,
-                      Outcome::NotRun);
-        return;
+    for (RequestRow &row : m_requests) {
+        if (row.state == State::Waiting && row.owner == host)
+            askForGrant(context, row, BackendServerId());
     }
-    const RequestRow *row = m_requests.find(attempt->request);
-    const RequestClass *requestClass =
-        row ? context.configuration->classes.find(row->requestClass) : nullptr;
-    const bool mayRepeat = requestClass && requestClass->repeat == RepeatRule::Idempotent;
-    if (event.status >= firstServerError && mayRepeat && row->attempts < timing::attemptLimit) {
-        context.emit(CancelAttempt{ attempt->id });
-        retryOrRefuse(context, counters, keys, *attempt, ResultCode::BackendServerLost,
-                      Outcome::Unknown);
-        return;
-    }
-    attempt->isRelayed = true;
-    context.emit(RelayAttempt{ attempt->request, attempt->id });
 }
 
-void EntrySystem::onTokens(StepContext &context, const AttemptTokens &event)
+void EntrySystem::askAgain(StepContext &context)
 {
-    AttemptRow *attempt = m_attempts.find(event.attempt);
-    if (!attempt || event.tokens == 0)
-        return;
-    attempt->lastProgressAt = context.now;
-    RequestRow *row = m_requests.find(attempt->request);
-    if (attempt->tokens == 0) {
-        attempt->firstTokenAt = context.now;
-        if (row)
-            row->isFirstTokenLate = context.now > row->firstTokenBy;
+    for (RequestRow &row : m_requests) {
+        const bool isSilent = row.state == State::Waiting && row.owner != context.self.id
+                              && context.now - row.askedAt > timing::grantSilenceLimit;
+        if (!isSilent)
+            continue;
+        withdraw(context, row);
+        askForGrant(context, row, BackendServerId());
     }
-    attempt->tokens += event.tokens;
 }
 
-void EntrySystem::countEnd(Counters &counters, const RequestRow &row, const AttemptRow &attempt,
-                           TimePoint now)
-{
-    ClassCounters &counts = countersOf(counters, row.requestClass);
-    const bool isInTarget = !row.isFirstTokenLate && now <= row.answerBy;
-    ++counts.completed;
-    counts.inTarget += isInTarget ? 1 : 0;
-    (isInTarget ? counters.usefulTokens : counters.lateTokens) += attempt.tokens;
-}
-
-void EntrySystem::onDone(StepContext &context, Counters &counters, KeySystem &keys,
-                         const AttemptDone &event)
+void EntrySystem::onCallerLeft(StepContext &context, Counters &counters, KeySystem &keys,
+                               const CallerLeft &event)
 {
-    const AttemptRow *found = m_attempts.find(event.attempt);
-    if (!found)
+    RequestRow *found = m_requests.find(event.request);
+    if (!found) {
+        context.emit(CloseExchange{ event.request });
         return;
-    const AttemptRow attempt = *found;
-    release(context, attempt, LeaseEnd::Completed);
-    m_attempts.remove(attempt.id);
-    const RequestRow *row = m_requests.find(attempt.request);
-    if (!row)
+    }
+    found->hasCaller = false;
+    // The answer of a keyed run is kept for the caller's next try, so the run goes on; so does one
+    // that has not started while a duplicate waits for it.
+    const bool isKeyedRun = found->state == State::Running && found->key.isValid();
+    const bool isJoined = found->state != State::Joined && keys.hasJoined(found->key);
+    if (isKeyedRun || isJoined)
         return;
-    countEnd(counters, *row, attempt, context.now);
-    keys.finish(context, row->key, row->id, Outcome::Completed);
-    context.emit(FinishReply{ row->id });
-    m_requests.remove(attempt.request);
-}
-
-void EntrySystem::onFailed(StepContext &context, Counters &counters, KeySystem &keys,
-                           const AttemptFailed &event)
-{
-    const AttemptRow *attempt = m_attempts.find(event.attempt);
-    if (!attempt)
+    const RequestRow row = *found;
+    m_requests.remove(row.id);
+    context.emit(CloseExchange{ row.id });
+    if (row.state == State::Joined)
+        keys.leave(row.key, row.id);
+    if (row.state == State::Joined || row.state == State::Forwarded)
         return;
-    const Outcome outcome = event.wasWritten ? Outcome::Unknown : Outcome::NotRun;
-    const ResultCode code =
-        attempt->isRelayed ? ResultCode::AnswerIncomplete : ResultCode::BackendServerLost;
-    retryOrRefuse(context, counters, keys, *attempt, code, outcome);
+    ++countersOf(counters, row.requestClass).abandoned;
+    if (row.state == State::Waiting)
+        withdraw(context, row);
+    if (row.state != State::Running)
+        finishKey(context, keys, row.key, row.id, outcomeOf(row, Outcome::NotRun));
+    if (const AttemptRow *running = m_attempts.find(row.attempt))
+        cancel(context, counters, *running);
 }
 
-void EntrySystem::retryOrRefuse(StepContext &context, Counters &counters, KeySystem &keys,
-                                const AttemptRow &failed, ResultCode code, Outcome outcome)
+void EntrySystem::cancel(StepContext &context, Counters &counters, const AttemptRow &running)
 {
-    const AttemptRow attempt = failed;
-    release(context, attempt,
-            code == ResultCode::BackendServerRefused ? LeaseEnd::Refused : LeaseEnd::Failed);
+    const AttemptRow attempt = running;
+    context.emit(CancelAttempt{ attempt.id });
     counters.cancelledTokens += attempt.tokens;
+    release(context, attempt, LeaseEnd::Cancelled);
     m_attempts.remove(attempt.id);
-    RequestRow *row = m_requests.find(attempt.request);
-    if (!row)
-        return;
-    const RequestClass *requestClass = context.configuration->classes.find(row->requestClass);
-    const bool mayRepeat = requestClass && requestClass->repeat == RepeatRule::Idempotent;
-    const bool isHarmless = outcome == Outcome::NotRun || mayRepeat;
-    const bool mayRetry =
-        isHarmless && !attempt.isRelayed && row->hasCaller && row->attempts < timing::attemptLimit;
-    if (!mayRetry) {
-        refuse(context, counters, keys, *row, code, outcome, timing::shedRetryAfter);
-        return;
-    }
-    ++counters.retries;
-    row->state = State::Waiting;
-    row->attempt = AttemptId();
-    askForGrant(context, *row, attempt.server);
-}
-
-void EntrySystem::refuse(StepContext &context, Counters &counters, KeySystem &keys, RequestRow row,
-                         ResultCode code, Outcome outcome, Duration retryAfter)
-{
-    ClassCounters &counts = countersOf(counters, row.requestClass);
-    ++(outcome == Outcome::NotRun ? counts.refused : counts.unknown);
-    m_requests.remove(row.id);
-    context.emit(RefuseRequest{ row.id, code, outcome, retryAfter });
-    keys.finish(context, row.key, row.id, outcome);
-}
-
-void EntrySystem::release(StepContext &context, const AttemptRow &attempt, LeaseEnd end)
-{
-    LeaseReleased message{
-        attempt.grant, attempt.lease, attempt.server, end, attempt.tokens, {}, {}
-    };
-    if (attempt.tokens > 0)
-        message.firstToken = attempt.firstTokenAt - attempt.startedAt;
-    if (attempt.tokens > 1)
-        message.interToken = (context.now - attempt.firstTokenAt) / (attempt.tokens - 1);
-    context.send(attempt.owner, message);
-}
-
-void EntrySystem::onCallerLeft(StepContext &context, Counters &counters, KeySystem &keys,
-                               const CallerLeft &event)
-{
-    RequestRow *row = m_requests.find(event.request);
-    if (!row) {
-        context.emit(CloseExchange{ event.request });
-        return;
-    }
-    row->hasCaller = false;
-    const bool isKeyedRun = row->state == State::Running && row->key.isValid();
-    // The answer of a keyed run is kept for the caller's next try, so the run goes on.
-    if (isKeyedRun)
-        return;
-    context.emit(CloseExchange{ event.request });
-    if (row->state == State::Joined) {
-        keys.leave(row->key, row->id);
-        m_requests.remove(event.request);
-        return;
-    }
-    ++countersOf(counters, row->requestClass).abandoned;
-    if (row->state == State::Waiting) {
-        withdraw(context, *row);
-        keys.finish(context, row->key, row->id, Outcome::NotRun);
-    }
-    if (const AttemptRow *found = m_attempts.find(row->attempt)) {
-        const AttemptRow attempt = *found;
-        context.emit(CancelAttempt{ attempt.id });
-        counters.cancelledTokens += attempt.tokens;
-        release(context, attempt, LeaseEnd::Cancelled);
-        m_attempts.remove(attempt.id);
-    }
-    m_requests.remove(event.request);
 }
 
 void EntrySystem::onForwardEnded(StepContext &context, RequestId request, bool isRelayed)
@@ -368,39 +328,4 @@
                                     timing::shedRetryAfter });
 }
 
-void EntrySystem::endStalledAttempts(StepContext &context, Counters &counters, KeySystem &keys)
-{
-    std::vector<AttemptId> stalled;
-    for (const AttemptRow &attempt : m_attempts) {
-        if (context.now - attempt.lastProgressAt > timing::progressTimeout)
-            stalled.push_back(attempt.id);
-    }
-    for (const AttemptId id : stalled) {
-        context.emit(CancelAttempt{ id });
-        retryOrRefuse(context, counters, keys, *m_attempts.find(id), ResultCode::BackendServerLost,
-                      Outcome::Unknown);
-    }
-}
-
-void EntrySystem::renewLeases(StepContext &context)
-{
-    if (context.now - m_renewedAt < timing::leaseRenewalInterval)
-        return;
-    m_renewedAt = context.now;
-    std::map<HostId, LeaseRenewal> renewals;
-    for (const AttemptRow &attempt : m_attempts) {
-        LeaseRenewal &renewal = renewals[attempt.owner];
-        renewal.entry = context.self.id;
-        renewal.items.push_back({ attempt.grant, attempt.lease, attempt.server, attempt.tier });
-    }
-    for (auto &[owner, renewal] : renewals)
-        context.send(owner, std::move(renewal));
-}
-
-void EntrySystem::run(StepContext &context, Counters &counters, KeySystem &keys)
-{
-    endStalledAttempts(context, counters, keys);
-    renewLeases(context);
-}
-
 } // namespace currantreel
--- a/currantreel/src/World/EntrySystem.h
+++ b/currantreel/src/World/EntrySystem.h
@@ -5,6 +5,7 @@
 #include "Event.h"
 #include "KeySystem.h"
 #include "StepContext.h"
+#include <optional>
 
 namespace currantreel {
 
@@ -15,12 +16,14 @@
     /// @param incarnation makes identifiers unique across restarts of the host.
     explicit EntrySystem(Incarnation incarnation);
 
+    /// @param isStopping refuses new requests; those under a key in use are still answered.
     void onArrived(StepContext &context, Counters &counters, KeySystem &keys,
-                   const RequestArrived &event);
+                   const RequestArrived &event, bool isStopping);
     void onCallerLeft(StepContext &context, Counters &counters, KeySystem &keys,
                       const CallerLeft &event);
     /// @param owner host that sent the grant.
-    void onGranted(StepContext &context, Counters &counters, HostId owner, const Granted &message);
+    void onGranted(StepContext &context, Counters &counters, KeySystem &keys, HostId owner,
+                   const Granted &message);
     /// @param owner host that sent the refusal.
     void onShed(StepContext &context, Counters &counters, KeySystem &keys, HostId owner,
                 const GrantShed &message);
@@ -33,7 +36,10 @@
                   const AttemptFailed &event);
     void onForwardEnded(StepContext &context, RequestId request, bool isRelayed);
 
-    /// Renews leases and ends attempts that make no progress.
+    /// Asks another owner for what waits at @p host.
+    void onHostLost(StepContext &context, HostId host);
+
+    /// Renews leases, asks again where an owner was silent, and ends attempts that make no progress.
     void run(StepContext &context, Counters &counters, KeySystem &keys);
 
     /// Requests in progress.
@@ -61,6 +67,7 @@
         int attempts = 0;
         bool isFirstTokenLate = false;
         bool hasCaller = true;
+        bool mayHaveRun = false; ///< An earlier attempt ended with outcome unknown.
     };
 
     struct AttemptRow
@@ -79,11 +86,29 @@
         bool isRelayed = false;
     };
 
-    bool resolve(StepContext &context, const RequestArrived &event, RequestRow &row);
-    bool applyKey(StepContext &context, KeySystem &keys, const RequestArrived &event,
+    static std::optional<ResultCode> resolve(const StepContext &context,
+                                             const RequestArrived &event, RequestRow &row);
+    static std::optional<ResultCode> resolveService(const Configuration &configuration,
+                                                    const RequestArrived &event, RequestRow &row);
+    static std::optional<ResultCode> resolveModel(const Configuration &configuration,
+                                                  const RequestArrived &event, RequestRow &row);
+    bool claimKey(StepContext &context, KeySystem &keys, const RequestArrived &event,
                   RequestRow &row);
+    static std::optional<ResultCode> assignKey(StepContext &context, KeySystem &keys,
+                                               const RequestArrived &event, RequestRow &row);
+    static bool isStale(const StepContext &context, const RequestRow &row, const Granted &message);
+    static bool isWorthless(const StepContext &context, const RequestRow &row);
+    static Outcome outcomeOf(const RequestRow &row, Outcome outcome);
+    void startAttempt(StepContext &context, Counters &counters, RequestRow &row,
+                      const BackendServer &server, const Granted &message);
+    void askAgain(StepContext &context);
+    /// This host if its failure domain can serve @p target, else a live host of one that can.
+    static HostId ownerOf(const StepContext &context, TargetId target);
     void askForGrant(StepContext &context, RequestRow &row, BackendServerId avoid);
     void withdraw(StepContext &context, const RequestRow &row);
+    void finishKey(StepContext &context, KeySystem &keys, KeyId key, RequestId runner,
+                   Outcome outcome);
+    void cancel(StepContext &context, Counters &counters, const AttemptRow &running);
     void release(StepContext &context, const AttemptRow &attempt, LeaseEnd end);
     void retryOrRefuse(StepContext &context, Counters &counters, KeySystem &keys,
                        const AttemptRow &attempt, ResultCode code, Outcome outcome);
--- a/currantreel/src/World/KeySystem.cpp
+++ b/currantreel/src/World/KeySystem.cpp
@@ -24,9 +24,11 @@
     case KeyClaim::Burnt:
         return refusal(ResultCode::KeyBurnt, Outcome::NotRun);
     case KeyClaim::Mismatch:
-        return refusal(ResultCode::KeyMismatch, Outcome::NotRun);
+        // Another body ran under the key, so "not run" would be wrong of the key.
+        return refusal(ResultCode::KeyMismatch, Outcome::Unknown);
     case KeyClaim::Full:
-        return refusal(ResultCode::KeyTableFull, Outcome::NotRun);
+        // The key cannot be burnt, so a late copy of the request may still run.
+        return refusal(ResultCode::KeyTableFull, Outcome::Unknown);
     case KeyClaim::Expired:
         return refusal(ResultCode::KeyExpired, Outcome::Unknown);
     case KeyClaim::Unknown:
@@ -110,13 +112,15 @@
     context.emit(KeyStateTold{ event.request, state.value_or(KeyState::Unknown) });
 }
 
-void KeySystem::finish(StepContext &context, KeyId key, RequestId runner, Outcome outcome)
+std::vector<RequestId> KeySystem::finish(StepContext &context, KeyId key, RequestId runner,
+                                         Outcome outcome)
 {
     if (!key.isValid())
-        return;
+        return {};
     if (outcome == Outcome::Completed)
         context.emit(KeepAnswer{ runner, key });
-    for (const RequestId joined : m_table.finish(key, outcome)) {
+    std::vector<RequestId> waiting = m_table.finish(key, outcome);
+    for (const RequestId joined : waiting) {
         if (outcome == Outcome::Completed)
             context.emit(ReplayAnswer{ joined, key });
         else if (outcome == Outcome::NotRun)
@@ -124,6 +128,7 @@
         else
             context.emit(RefuseRequest{ joined, ResultCode::KeyRunUnknown, outcome, {} });
     }
+    return waiting;
 }
 
 void KeySystem::run(StepContext &context)
--- a/currantreel/src/World/KeySystem.h
+++ b/currantreel/src/World/KeySystem.h
@@ -7,6 +7,7 @@
 #include "StepContext.h"
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace currantreel {
 
@@ -43,12 +44,16 @@
     /// Answers a question about a key, or forwards it.
     void onStateAsked(StepContext &context, const KeyStateAsked &event);
 
-    /// Ends the run under @p key by @p runner and answers those who joined it.
-    void finish(StepContext &context, KeyId key, RequestId runner, Outcome outcome);
+    /// Ends the run under @p key by @p runner and answers those who joined it, which it returns.
+    std::vector<RequestId> finish(StepContext &context, KeyId key, RequestId runner,
+                                  Outcome outcome);
 
     /// Forgets a joined request whose caller left.
     void leave(KeyId key, RequestId request) { m_table.leave(key, request); }
 
+    /// True if a duplicate waits for the run under @p key.
+    [[nodiscard]] bool hasJoined(KeyId key) const { return m_table.hasJoined(key); }
+
     /// Drops expired keys.
     void run(StepContext &context);
 
--- a/currantreel/src/World/StepContext.h
+++ b/currantreel/src/World/StepContext.h
@@ -31,6 +31,7 @@
 {
     HostIdentity self;
     TimePoint now;
+    bool isAfterPause = false; ///< No step for longer than a lease lasts: news may be as old.
     std::shared_ptr<const Configuration> configuration = std::make_shared<Configuration>();
     Table<HostEntry> hosts; ///< Every host of ours that is known.
     EffectList effects;
--- a/currantreel/src/World/Timing.h
+++ b/currantreel/src/World/Timing.h
@@ -14,6 +14,9 @@
 inline constexpr Duration leaseRenewalInterval = 1s;
 /// Longest time between ticks.
 inline constexpr Duration tickInterval = 20ms;
+/// Longest silence of another host that was asked for a grant. No longer than a lease, so that a grant
+/// which comes within it has not lapsed.
+inline constexpr Duration grantSilenceLimit = 3s;
 /// Time without grants after a server refused or failed.
 inline constexpr Duration refusalPause = 250ms;
 /// Advice to a caller who was shed.
--- a/currantreel/src/World/World.cpp
+++ b/currantreel/src/World/World.cpp
@@ -1,5 +1,7 @@
 #include "World.h"
 
+#include "Timing.h"
+
 namespace currantreel {
 
 template <RoutingPolicy Policy>
@@ -12,6 +14,8 @@
 template <RoutingPolicy Policy>
 const EffectList &BasicWorld<Policy>::step(TimePoint now, std::span<const Event> events)
 {
+    m_context.isAfterPause = m_hasStepped && now - m_context.now > timing::leasePeriod;
+    m_hasStepped = true;
     m_context.now = now;
     m_context.effects.clear();
     for (const Event &event : events) {
@@ -60,11 +64,7 @@
 template <RoutingPolicy Policy>
 void BasicWorld<Policy>::apply(const RequestArrived &event)
 {
-    if (m_isStopping) {
-        m_context.emit(RefuseRequest{ event.request, ResultCode::Stopping, Outcome::NotRun, {} });
-        return;
-    }
-    m_entry.onArrived(m_context, m_counters, m_keys, event);
+    m_entry.onArrived(m_context, m_counters, m_keys, event, m_isStopping);
 }
 
 template <RoutingPolicy Policy>
@@ -165,7 +165,7 @@
 template <RoutingPolicy Policy>
 void BasicWorld<Policy>::receive(HostId from, const Granted &message)
 {
-    m_entry.onGranted(m_context, m_counters, from, message);
+    m_entry.onGranted(m_context, m_counters, m_keys, from, message);
 }
 
 template <RoutingPolicy Policy>
--- a/currantreel/src/World/World.h
+++ b/currantreel/src/World/World.h
@@ -73,6 +73,7 @@
     OwnerSystem<Policy> m_owner;
     KeySystem m_keys;
     bool m_hasHostList = false;
+    bool m_hasStepped = false;
     bool m_isStopping = false;
     bool m_isStopReported = false;
 };
