--- a/currantreel/src/Peer/Generated/PeerMessage_generated.h
+++ b/currantreel/src/Peer/Generated/PeerMessage_generated.h
@@ -50,6 +50,27 @@
 struct Pong;
 struct PongBuilder;
 
+struct ConfigurationAnnounce;
+struct ConfigurationAnnounceBuilder;
+
+struct PatchRequest;
+struct PatchRequestBuilder;
+
+struct PatchPiece;
+struct PatchPieceBuilder;
+
+struct PatchBatch;
+struct PatchBatchBuilder;
+
+struct SnapshotRequest;
+struct SnapshotRequestBuilder;
+
+struct SnapshotPart;
+struct SnapshotPartBuilder;
+
+struct LeavingServers;
+struct LeavingServersBuilder;
+
 struct Frame;
 struct FrameBuilder;
 
@@ -65,11 +86,17 @@
   GrantWithdrawn = 8,
   LeaseReleased = 9,
   LeaseRenewal = 10,
+  ConfigurationAnnounce = 11,
+  PatchRequest = 12,
+  PatchBatch = 13,
+  SnapshotRequest = 14,
+  SnapshotPart = 15,
+  LeavingServers = 16,
   MIN = NONE,
-  MAX = LeaseRenewal
+  MAX = LeavingServers
 };
 
-inline const Body (&EnumValuesBody())[11] {
+inline const Body (&EnumValuesBody())[17] {
   static const Body values[] = {
     Body::NONE,
     Body::Greeting,
@@ -81,13 +108,19 @@
     Body::GrantShed,
     Body::GrantWithdrawn,
     Body::LeaseReleased,
-    Body::LeaseRenewal
+    Body::LeaseRenewal,
+    Body::ConfigurationAnnounce,
+    Body::PatchRequest,
+    Body::PatchBatch,
+    Body::SnapshotRequest,
+    Body::SnapshotPart,
+    Body::LeavingServers
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[12] = {
+  static const char * const names[18] = {
     "NONE",
     "Greeting",
     "Proof",
@@ -99,13 +132,19 @@
     "GrantWithdrawn",
     "LeaseReleased",
     "LeaseRenewal",
+    "ConfigurationAnnounce",
+    "PatchRequest",
+    "PatchBatch",
+    "SnapshotRequest",
+    "SnapshotPart",
+    "LeavingServers",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::LeaseRenewal)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::LeavingServers)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -154,6 +193,30 @@
   static const Body enum_value = Body::LeaseRenewal;
 };
 
+template<> struct BodyTraits<currantreel::wire::ConfigurationAnnounce> {
+  static const Body enum_value = Body::ConfigurationAnnounce;
+};
+
+template<> struct BodyTraits<currantreel::wire::PatchRequest> {
+  static const Body enum_value = Body::PatchRequest;
+};
+
+template<> struct BodyTraits<currantreel::wire::PatchBatch> {
+  static const Body enum_value = Body::PatchBatch;
+};
+
+template<> struct BodyTraits<currantreel::wire::SnapshotRequest> {
+  static const Body enum_value = Body::SnapshotRequest;
+};
+
+template<> struct BodyTraits<currantreel::wire::SnapshotPart> {
+  static const Body enum_value = Body::SnapshotPart;
+};
+
+template<> struct BodyTraits<currantreel::wire::LeavingServers> {
+  static const Body enum_value = Body::LeavingServers;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -1012,6 +1075,514 @@
   static auto constexpr Create = CreatePong;
 };
 
+struct ConfigurationAnnounce FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ConfigurationAnnounceBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_POSITION = 4,
+    VT_DIGEST = 6,
+    VT_IS_ANSWER_WANTED = 8
+  };
+  uint64_t position() const {
+    return GetField<uint64_t>(VT_POSITION, 0);
+  }
+  const flatbuffers::String *digest() const {
+    return GetPointer<const flatbuffers::String *>(VT_DIGEST);
+  }
+  bool is_answer_wanted() const {
+    return GetField<uint8_t>(VT_IS_ANSWER_WANTED, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_POSITION, 8) &&
+           VerifyOffset(verifier, VT_DIGEST) &&
+           verifier.VerifyString(digest()) &&
+           VerifyField<uint8_t>(verifier, VT_IS_ANSWER_WANTED, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct ConfigurationAnnounceBuilder {
+  typedef ConfigurationAnnounce Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_position(uint64_t position) {
+    fbb_.AddElement<uint64_t>(ConfigurationAnnounce::VT_POSITION, position, 0);
+  }
+  void add_digest(flatbuffers::Offset<flatbuffers::String> digest) {
+    fbb_.AddOffset(ConfigurationAnnounce::VT_DIGEST, digest);
+  }
+  void add_is_answer_wanted(bool is_answer_wanted) {
+    fbb_.AddElement<uint8_t>(ConfigurationAnnounce::VT_IS_ANSWER_WANTED, static_cast<uint8_t>(is_answer_wanted), 0);
+  }
+  explicit ConfigurationAnnounceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ConfigurationAnnounce> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ConfigurationAnnounce>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ConfigurationAnnounce> CreateConfigurationAnnounce(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t position = 0,
+    flatbuffers::Offset<flatbuffers::String> digest = 0,
+    bool is_answer_wanted = false) {
+  ConfigurationAnnounceBuilder builder_(_fbb);
+  builder_.add_position(position);
+  builder_.add_digest(digest);
+  builder_.add_is_answer_wanted(is_answer_wanted);
+  return builder_.Finish();
+}
+
+struct ConfigurationAnnounce::Traits {
+  using type = ConfigurationAnnounce;
+  static auto constexpr Create = CreateConfigurationAnnounce;
+};
+
+inline flatbuffers::Offset<ConfigurationAnnounce> CreateConfigurationAnnounceDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t position = 0,
+    const char *digest = nullptr,
+    bool is_answer_wanted = false) {
+  auto digest__ = digest ? _fbb.CreateString(digest) : 0;
+  return currantreel::wire::CreateConfigurationAnnounce(
+      _fbb,
+      position,
+      digest__,
+      is_answer_wanted);
+}
+
+struct PatchRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PatchRequestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_OFFSET = 6
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  uint64_t offset() const {
+    return GetField<uint64_t>(VT_OFFSET, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint64_t>(verifier, VT_OFFSET, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct PatchRequestBuilder {
+  typedef PatchRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(PatchRequest::VT_NUMBER, number, 0);
+  }
+  void add_offset(uint64_t offset) {
+    fbb_.AddElement<uint64_t>(PatchRequest::VT_OFFSET, offset, 0);
+  }
+  explicit PatchRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PatchRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PatchRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PatchRequest> CreatePatchRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    uint64_t offset = 0) {
+  PatchRequestBuilder builder_(_fbb);
+  builder_.add_offset(offset);
+  builder_.add_number(number);
+  return builder_.Finish();
+}
+
+struct PatchRequest::Traits {
+  using type = PatchRequest;
+  static auto constexpr Create = CreatePatchRequest;
+};
+
+struct PatchPiece FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PatchPieceBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_SIZE = 6,
+    VT_OFFSET = 8,
+    VT_BYTES = 10
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  uint64_t size() const {
+    return GetField<uint64_t>(VT_SIZE, 0);
+  }
+  uint64_t offset() const {
+    return GetField<uint64_t>(VT_OFFSET, 0);
+  }
+  const flatbuffers::Vector<uint8_t> *bytes() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BYTES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SIZE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_OFFSET, 8) &&
+           VerifyOffset(verifier, VT_BYTES) &&
+           verifier.VerifyVector(bytes()) &&
+           verifier.EndTable();
+  }
+};
+
+struct PatchPieceBuilder {
+  typedef PatchPiece Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(PatchPiece::VT_NUMBER, number, 0);
+  }
+  void add_size(uint64_t size) {
+    fbb_.AddElement<uint64_t>(PatchPiece::VT_SIZE, size, 0);
+  }
+  void add_offset(uint64_t offset) {
+    fbb_.AddElement<uint64_t>(PatchPiece::VT_OFFSET, offset, 0);
+  }
+  void add_bytes(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes) {
+    fbb_.AddOffset(PatchPiece::VT_BYTES, bytes);
+  }
+  explicit PatchPieceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PatchPiece> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PatchPiece>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PatchPiece> CreatePatchPiece(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    uint64_t size = 0,
+    uint64_t offset = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes = 0) {
+  PatchPieceBuilder builder_(_fbb);
+  builder_.add_offset(offset);
+  builder_.add_size(size);
+  builder_.add_number(number);
+  builder_.add_bytes(bytes);
+  return builder_.Finish();
+}
+
+struct PatchPiece::Traits {
+  using type = PatchPiece;
+  static auto constexpr Create = CreatePatchPiece;
+};
+
+inline flatbuffers::Offset<PatchPiece> CreatePatchPieceDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    uint64_t size = 0,
+    uint64_t offset = 0,
+    const std::vector<uint8_t> *bytes = nullptr) {
+  auto bytes__ = bytes ? _fbb.CreateVector<uint8_t>(*bytes) : 0;
+  return currantreel::wire::CreatePatchPiece(
+      _fbb,
+      number,
+      size,
+      offset,
+      bytes__);
+}
+
+struct PatchBatch FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PatchBatchBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_POSITION = 4,
+    VT_PIECES = 6
+  };
+  uint64_t position() const {
+    return GetField<uint64_t>(VT_POSITION, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<currantreel::wire::PatchPiece>> *pieces() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<currantreel::wire::PatchPiece>> *>(VT_PIECES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_POSITION, 8) &&
+           VerifyOffset(verifier, VT_PIECES) &&
+           verifier.VerifyVector(pieces()) &&
+           verifier.VerifyVectorOfTables(pieces()) &&
+           verifier.EndTable();
+  }
+};
+
+struct PatchBatchBuilder {
+  typedef PatchBatch Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_position(uint64_t position) {
+    fbb_.AddElement<uint64_t>(PatchBatch::VT_POSITION, position, 0);
+  }
+  void add_pieces(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<currantreel::wire::PatchPiece>>> pieces) {
+    fbb_.AddOffset(PatchBatch::VT_PIECES, pieces);
+  }
+  explicit PatchBatchBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PatchBatch> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PatchBatch>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PatchBatch> CreatePatchBatch(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t position = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<currantreel::wire::PatchPiece>>> pieces = 0) {
+  PatchBatchBuilder builder_(_fbb);
+  builder_.add_position(position);
+  builder_.add_pieces(pieces);
+  return builder_.Finish();
+}
+
+struct PatchBatch::Traits {
+  using type = PatchBatch;
+  static auto constexpr Create = CreatePatchBatch;
+};
+
+inline flatbuffers::Offset<PatchBatch> CreatePatchBatchDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t position = 0,
+    const std::vector<flatbuffers::Offset<currantreel::wire::PatchPiece>> *pieces = nullptr) {
+  auto pieces__ = pieces ? _fbb.CreateVector<flatbuffers::Offset<currantreel::wire::PatchPiece>>(*pieces) : 0;
+  return currantreel::wire::CreatePatchBatch(
+      _fbb,
+      position,
+      pieces__);
+}
+
+struct SnapshotRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef SnapshotRequestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_POSITION = 4,
+    VT_OFFSET = 6
+  };
+  uint64_t position() const {
+    return GetField<uint64_t>(VT_POSITION, 0);
+  }
+  uint64_t offset() const {
+    return GetField<uint64_t>(VT_OFFSET, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_POSITION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_OFFSET, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct SnapshotRequestBuilder {
+  typedef SnapshotRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_position(uint64_t position) {
+    fbb_.AddElement<uint64_t>(SnapshotRequest::VT_POSITION, position, 0);
+  }
+  void add_offset(uint64_t offset) {
+    fbb_.AddElement<uint64_t>(SnapshotRequest::VT_OFFSET, offset, 0);
+  }
+  explicit SnapshotRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<SnapshotRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<SnapshotRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<SnapshotRequest> CreateSnapshotRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t position = 0,
+    uint64_t offset = 0) {
+  SnapshotRequestBuilder builder_(_fbb);
+  builder_.add_offset(offset);
+  builder_.add_position(position);
+  return builder_.Finish();
+}
+
+struct SnapshotRequest::Traits {
+  using type = SnapshotRequest;
+  static auto constexpr Create = CreateSnapshotRequest;
+};
+
+struct SnapshotPart FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef SnapshotPartBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_POSITION = 4,
+    VT_SIZE = 6,
+    VT_OFFSET = 8,
+    VT_BYTES = 10
+  };
+  uint64_t position() const {
+    return GetField<uint64_t>(VT_POSITION, 0);
+  }
+  uint64_t size() const {
+    return GetField<uint64_t>(VT_SIZE, 0);
+  }
+  uint64_t offset() const {
+    return GetField<uint64_t>(VT_OFFSET, 0);
+  }
+  const flatbuffers::Vector<uint8_t> *bytes() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BYTES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_POSITION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SIZE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_OFFSET, 8) &&
+           VerifyOffset(verifier, VT_BYTES) &&
+           verifier.VerifyVector(bytes()) &&
+           verifier.EndTable();
+  }
+};
+
+struct SnapshotPartBuilder {
+  typedef SnapshotPart Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_position(uint64_t position) {
+    fbb_.AddElement<uint64_t>(SnapshotPart::VT_POSITION, position, 0);
+  }
+  void add_size(uint64_t size) {
+    fbb_.AddElement<uint64_t>(SnapshotPart::VT_SIZE, size, 0);
+  }
+  void add_offset(uint64_t offset) {
+    fbb_.AddElement<uint64_t>(SnapshotPart::VT_OFFSET, offset, 0);
+  }
+  void add_bytes(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes) {
+    fbb_.AddOffset(SnapshotPart::VT_BYTES, bytes);
+  }
+  explicit SnapshotPartBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<SnapshotPart> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<SnapshotPart>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<SnapshotPart> CreateSnapshotPart(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t position = 0,
+    uint64_t size = 0,
+    uint64_t offset = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes = 0) {
+  SnapshotPartBuilder builder_(_fbb);
+  builder_.add_offset(offset);
+  builder_.add_size(size);
+  builder_.add_position(position);
+  builder_.add_bytes(bytes);
+  return builder_.Finish();
+}
+
+struct SnapshotPart::Traits {
+  using type = SnapshotPart;
+  static auto constexpr Create = CreateSnapshotPart;
+};
+
+inline flatbuffers::Offset<SnapshotPart> CreateSnapshotPartDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t position = 0,
+    uint64_t size = 0,
+    uint64_t offset = 0,
+    const std::vector<uint8_t> *bytes = nullptr) {
+  auto bytes__ = bytes ? _fbb.CreateVector<uint8_t>(*bytes) : 0;
+  return currantreel::wire::CreateSnapshotPart(
+      _fbb,
+      position,
+      size,
+      offset,
+      bytes__);
+}
+
+struct LeavingServers FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LeavingServersBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVERS = 4
+  };
+  const flatbuffers::Vector<uint64_t> *servers() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_SERVERS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVERS) &&
+           verifier.VerifyVector(servers()) &&
+           verifier.EndTable();
+  }
+};
+
+struct LeavingServersBuilder {
+  typedef LeavingServers Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_servers(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> servers) {
+    fbb_.AddOffset(LeavingServers::VT_SERVERS, servers);
+  }
+  explicit LeavingServersBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LeavingServers> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LeavingServers>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LeavingServers> CreateLeavingServers(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> servers = 0) {
+  LeavingServersBuilder builder_(_fbb);
+  builder_.add_servers(servers);
+  return builder_.Finish();
+}
+
+struct LeavingServers::Traits {
+  using type = LeavingServers;
+  static auto constexpr Create = CreateLeavingServers;
+};
+
+inline flatbuffers::Offset<LeavingServers> CreateLeavingServersDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<uint64_t> *servers = nullptr) {
+  auto servers__ = servers ? _fbb.CreateVector<uint64_t>(*servers) : 0;
+  return currantreel::wire::CreateLeavingServers(
+      _fbb,
+      servers__);
+}
+
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FrameBuilder Builder;
   struct Traits;
@@ -1064,6 +1635,24 @@
   const currantreel::wire::LeaseRenewal *body_as_LeaseRenewal() const {
     return body_type() == currantreel::wire::Body::LeaseRenewal ? static_cast<const currantreel::wire::LeaseRenewal *>(body()) : nullptr;
   }
+  const currantreel::wire::ConfigurationAnnounce *body_as_ConfigurationAnnounce() const {
+    return body_type() == currantreel::wire::Body::ConfigurationAnnounce ? static_cast<const currantreel::wire::ConfigurationAnnounce *>(body()) : nullptr;
+  }
+  const currantreel::wire::PatchRequest *body_as_PatchRequest() const {
+    return body_type() == currantreel::wire::Body::PatchRequest ? static_cast<const currantreel::wire::PatchRequest *>(body()) : nullptr;
+  }
+  const currantreel::wire::PatchBatch *body_as_PatchBatch() const {
+    return body_type() == currantreel::wire::Body::PatchBatch ? static_cast<const currantreel::wire::PatchBatch *>(body()) : nullptr;
+  }
+  const currantreel::wire::SnapshotRequest *body_as_SnapshotRequest() const {
+    return body_type() == currantreel::wire::Body::SnapshotRequest ? static_cast<const currantreel::wire::SnapshotRequest *>(body()) : nullptr;
+  }
+  const currantreel::wire::SnapshotPart *body_as_SnapshotPart() const {
+    return body_type() == currantreel::wire::Body::SnapshotPart ? static_cast<const currantreel::wire::SnapshotPart *>(body()) : nullptr;
+  }
+  const currantreel::wire::LeavingServers *body_as_LeavingServers() const {
+    return body_type() == currantreel::wire::Body::LeavingServers ? static_cast<const currantreel::wire::LeavingServers *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
@@ -1115,6 +1704,30 @@
   return body_as_LeaseRenewal();
 }
 
+template<> inline const currantreel::wire::ConfigurationAnnounce *Frame::body_as<currantreel::wire::ConfigurationAnnounce>() const {
+  return body_as_ConfigurationAnnounce();
+}
+
+template<> inline const currantreel::wire::PatchRequest *Frame::body_as<currantreel::wire::PatchRequest>() const {
+  return body_as_PatchRequest();
+}
+
+template<> inline const currantreel::wire::PatchBatch *Frame::body_as<currantreel::wire::PatchBatch>() const {
+  return body_as_PatchBatch();
+}
+
+template<> inline const currantreel::wire::SnapshotRequest *Frame::body_as<currantreel::wire::SnapshotRequest>() const {
+  return body_as_SnapshotRequest();
+}
+
+template<> inline const currantreel::wire::SnapshotPart *Frame::body_as<currantreel::wire::SnapshotPart>() const {
+  return body_as_SnapshotPart();
+}
+
+template<> inline const currantreel::wire::LeavingServers *Frame::body_as<currantreel::wire::LeavingServers>() const {
+  return body_as_LeavingServers();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1206,6 +1819,30 @@
       auto ptr = reinterpret_cast<const currantreel::wire::LeaseRenewal *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::ConfigurationAnnounce: {
+      auto ptr = reinterpret_cast<const currantreel::wire::ConfigurationAnnounce *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::PatchRequest: {
+      auto ptr = reinterpret_cast<const currantreel::wire::PatchRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::PatchBatch: {
+      auto ptr = reinterpret_cast<const currantreel::wire::PatchBatch *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::SnapshotRequest: {
+      auto ptr = reinterpret_cast<const currantreel::wire::SnapshotRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::SnapshotPart: {
+      auto ptr = reinterpret_cast<const currantreel::wire::SnapshotPart *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::LeavingServers: {
+      auto ptr = reinterpret_cast<const currantreel::wire::LeavingServers *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/currantreel/src/Peer/PeerDecoder.cpp
+++ b/currantreel/src/Peer/PeerDecoder.cpp
@@ -13,6 +13,9 @@
 /// Largest weight of a workspace; the configuration allows no larger one.
 constexpr double largestShare = 1'000'000.0;
 
+/// Longest digest of a configuration, in characters.
+constexpr std::size_t longestDigest = 64;
+
 /// Checks and converts the values of one message, and remembers whether all were right.
 class Reader
 {
@@ -51,6 +54,21 @@
         return result;
     }
 
+    std::string digest(const flatbuffers::String *digest)
+    {
+        require(!digest || digest->size() <= longestDigest);
+        return isValid() && digest ? digest->str() : std::string();
+    }
+
+    /// Bytes from @p offset on of a value of @p size bytes.
+    std::string bytes(const flatbuffers::Vector<std::uint8_t> *bytes, std::uint64_t offset,
+                      std::uint64_t size)
+    {
+        const std::size_t length = bytes ? bytes->size() : 0;
+        require(length <= messagePayloadBytes && offset <= size && length <= size - offset);
+        return isValid() && bytes ? std::string(bytes->begin(), bytes->end()) : std::string();
+    }
+
     void require(bool isRight) { m_isValid = m_isValid && isRight; }
 
 private:
@@ -119,6 +137,50 @@
     return message;
 }
 
+ConfigurationAnnounce decode(Reader &reader, const wire::ConfigurationAnnounce &table)
+{
+    return ConfigurationAnnounce{ table.position(), reader.digest(table.digest()),
+                                  table.is_answer_wanted() };
+}
+
+PatchRequest decode(Reader & /*reader*/, const wire::PatchRequest &table)
+{
+    return PatchRequest{ table.number(), table.offset() };
+}
+
+PatchBatch decode(Reader &reader, const wire::PatchBatch &table)
+{
+    PatchBatch message;
+    message.position = table.position();
+    if (!table.pieces())
+        return message;
+    for (const wire::PatchPiece *piece : *table.pieces())
+        message.pieces.push_back({ piece->number(), piece->size(), piece->offset(),
+                                   reader.bytes(piece->bytes(), piece->offset(), piece->size()) });
+    return message;
+}
+
+SnapshotRequest decode(Reader & /*reader*/, const wire::SnapshotRequest &table)
+{
+    return SnapshotRequest{ table.position(), table.offset() };
+}
+
+SnapshotPart decode(Reader &reader, const wire::SnapshotPart &table)
+{
+    return SnapshotPart{ table.position(), table.size(), table.offset(),
+                         reader.bytes(table.bytes(), table.offset(), table.size()) };
+}
+
+LeavingServers decode(Reader & /*reader*/, const wire::LeavingServers &table)
+{
+    LeavingServers message;
+    if (!table.servers())
+        return message;
+    for (const std::uint64_t server : *table.servers())
+        message.servers.push_back(BackendServerId{ server });
+    return message;
+}
+
 template <typename Table>
 std::optional<PeerMessage> decodeAs(const wire::Frame &frame)
 {
@@ -146,6 +208,18 @@
         return decodeAs<wire::LeaseReleased>(frame);
     case wire::Body::LeaseRenewal:
         return decodeAs<wire::LeaseRenewal>(frame);
+    case wire::Body::ConfigurationAnnounce:
+        return decodeAs<wire::ConfigurationAnnounce>(frame);
+    case wire::Body::PatchRequest:
+        return decodeAs<wire::PatchRequest>(frame);
+    case wire::Body::PatchBatch:
+        return decodeAs<wire::PatchBatch>(frame);
+    case wire::Body::SnapshotRequest:
+        return decodeAs<wire::SnapshotRequest>(frame);
+    case wire::Body::SnapshotPart:
+        return decodeAs<wire::SnapshotPart>(frame);
+    case wire::Body::LeavingServers:
+        return decodeAs<wire::LeavingServers>(frame);
     default:
         return std::nullopt;
     }
--- a/currantreel/src/Peer/PeerEncoder.cpp
+++ b/currantreel/src/Peer/PeerEncoder.cpp
@@ -69,6 +69,54 @@
     return bodyOf(wire::CreateLeaseRenewal(builder, message.entry.value, vector));
 }
 
+flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>> toWire(Builder &builder,
+                                                              const std::string &bytes)
+{
+    return builder.CreateVector(reinterpret_cast<const std::uint8_t *>(bytes.data()), bytes.size());
+}
+
+EncodedBody encode(Builder &builder, const ConfigurationAnnounce &message)
+{
+    const auto digest = builder.CreateString(message.digest);
+    return bodyOf(wire::CreateConfigurationAnnounce(builder, message.position, digest,
+                                                    message.isAnswerWanted));
+}
+
+EncodedBody encode(Builder &builder, const PatchRequest &message)
+{
+    return bodyOf(wire::CreatePatchRequest(builder, message.number, message.offset));
+}
+
+EncodedBody encode(Builder &builder, const PatchBatch &message)
+{
+    std::vector<flatbuffers::Offset<wire::PatchPiece>> pieces;
+    pieces.reserve(message.pieces.size());
+    for (const PatchPiece &piece : message.pieces)
+        pieces.push_back(wire::CreatePatchPiece(builder, piece.number, piece.size, piece.offset,
+                                                toWire(builder, piece.bytes)));
+    return bodyOf(wire::CreatePatchBatch(builder, message.position, builder.CreateVector(pieces)));
+}
+
+EncodedBody encode(Builder &builder, const SnapshotRequest &message)
+{
+    return bodyOf(wire::CreateSnapshotRequest(builder, message.position, message.offset));
+}
+
+EncodedBody encode(Builder &builder, const SnapshotPart &message)
+{
+    return bodyOf(wire::CreateSnapshotPart(builder, message.position, message.size, message.offset,
+                                           toWire(builder, message.bytes)));
+}
+
+EncodedBody encode(Builder &builder, const LeavingServers &message)
+{
+    std::vector<std::uint64_t> servers;
+    servers.reserve(message.servers.size());
+    for (const BackendServerId server : message.servers)
+        servers.push_back(server.value);
+    return bodyOf(wire::CreateLeavingServers(builder, builder.CreateVector(servers)));
+}
+
 template <typename Message>
 concept Encodable = requires(Builder &builder, const Message &message)
 {
--- a/currantreel/src/Shell/Daemon.cpp
+++ b/currantreel/src/Shell/Daemon.cpp
@@ -84,7 +84,6 @@
     event_add(m_tick.get(), &interval);
     event_add(m_terminate.get(), nullptr);
     event_add(m_interrupt.get(), nullptr);
-    m_platform.start();
     m_log.write("started", { { "callers", toText(m_settings->callers) },
                              { "operators", toText(m_settings->operators) } });
     event_base_dispatch(m_base.get());
@@ -141,6 +140,29 @@
                                             { "digest", m_world.configuration().digest } });
 }
 
+void Daemon::handle(const PatchRefused &effect)
+{
+    m_log.write("patch_refused", { { "patch", std::to_string(effect.number) },
+                                   { "code", std::to_string(number(effect.error.code)) },
+                                   { "name", std::string(info(effect.error.code).name) },
+                                   { "detail", effect.error.detail } });
+}
+
+void Daemon::handle(const WatchPlatform &effect)
+{
+    m_platform.watch(effect);
+}
+
+void Daemon::handle(const ReadPlatform &effect)
+{
+    m_platform.read(effect);
+}
+
+void Daemon::handle(const ReadHostList & /*effect*/)
+{
+    m_platform.readHostList();
+}
+
 void Daemon::handle(const StopCompleted & /*effect*/)
 {
     const timeval rest = toTimeval(flushTime);
--- a/currantreel/src/Shell/Daemon.h
+++ b/currantreel/src/Shell/Daemon.h
@@ -28,6 +28,10 @@
     void stop();
     void handle(const SendPeer &effect);
     void handle(const ConfigurationInForce &effect);
+    void handle(const PatchRefused &effect);
+    void handle(const WatchPlatform &effect);
+    void handle(const ReadPlatform &effect);
+    void handle(const ReadHostList &effect);
     void handle(const StopCompleted &effect);
     template <typename T>
     void handle(const T &effect)
--- a/currantreel/src/Shell/PlatformClient.cpp
+++ b/currantreel/src/Shell/PlatformClient.cpp
@@ -1,6 +1,5 @@
 #include "PlatformClient.h"
 
-#include "../Configuration/ConfigurationDocument.h"
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -11,8 +10,6 @@
 using namespace std::chrono_literals;
 
 constexpr int statusOk = 200;
-constexpr Duration hostsInterval = 1s;
-constexpr Duration retryInterval = 500ms;
 /// Time by which a watch may exceed the wait it asked for.
 constexpr Duration watchSlack = 2s;
 
@@ -56,26 +53,16 @@
 
 } // namespace
 
-struct PlatformClient::Reader
+struct PlatformClient::Call
 {
+    PlatformClient *client = nullptr;
     EventHandle timer;
     std::unique_ptr<OutgoingExchange> exchange;
-    bool isEnded = false;
-    int status = 0;
+    std::string name; ///< Path as the core knows it.
+    int status = 0; ///< 0: no whole answer.
     std::string body;
 
-    void end()
-    {
-        isEnded = true;
-        event_active(timer.get(), EV_TIMEOUT, 0);
-    }
-    void wait(Duration time)
-    {
-        exchange.reset();
-        isEnded = false;
-        const timeval delay = toTimeval(time);
-        event_add(timer.get(), &delay);
-    }
+    void finish() { event_active(timer.get(), EV_TIMEOUT, 0); }
 };
 
 PlatformClient::PlatformClient(event_base *base, const HostSettings &settings, const Log &log,
@@ -84,142 +71,95 @@
       m_settings(&settings),
       m_log(&log),
       m_sink(std::move(sink)),
-      m_watch(std::make_unique<Reader>()),
-      m_hosts(std::make_unique<Reader>())
+      m_configuration(std::make_unique<Call>()),
+      m_hosts(std::make_unique<Call>())
 {
-    const auto onWatch = [](evutil_socket_t, short, void *self) {
-        static_cast<PlatformClient *>(self)->onWatchTimer();
-    };
-    const auto onHostsDue = [](evutil_socket_t, short, void *self) {
-        static_cast<PlatformClient *>(self)->onHostsTimer();
-    };
-    m_watch->timer.reset(event_new(base, -1, 0, onWatch, this));
-    m_hosts->timer.reset(event_new(base, -1, 0, onHostsDue, this));
+    for (Call *call : { m_configuration.get(), m_hosts.get() }) {
+        call->client = this;
+        call->timer.reset(event_new(base, -1, 0, &PlatformClient::onTimer, call));
+    }
 }
 
 PlatformClient::~PlatformClient() = default;
 
-void PlatformClient::start()
+void PlatformClient::watch(const WatchPlatform &effect)
+{
+    begin(*m_configuration, "head",
+          fmt::format("/v1/watch/head?after={}&wait_ms={}", effect.after,
+                      toMilliseconds(m_settings->platformPoll)));
+}
+
+void PlatformClient::read(const ReadPlatform &effect)
 {
-    m_watch->wait(Duration::zero());
-    m_hosts->wait(Duration::zero());
+    begin(*m_configuration, effect.path, "/v1/values/" + effect.path);
+}
+
+void PlatformClient::readHostList()
+{
+    begin(*m_hosts, "hosts", "/v1/hosts");
 }
 
 void PlatformClient::setReachable(bool isReachable)
 {
+    if (!isReachable)
+        ++m_addressIndex;
     if (isReachable == m_isReachable)
         return;
     m_isReachable = isReachable;
     m_log->write(isReachable ? "platform_reachable" : "platform_unreachable");
 }
 
-void PlatformClient::read(Reader &reader, const std::string &path)
+void PlatformClient::begin(Call &call, std::string name, std::string path)
 {
-    ++m_calls;
-    reader.status = 0;
-    reader.body.clear();
-    reader.isEnded = false;
+    call.name = std::move(name);
+    call.status = 0;
+    call.body.clear();
     OutgoingRequest request;
     request.address = m_settings->platform[m_addressIndex % m_settings->platform.size()];
-    request.path = path;
+    request.path = std::move(path);
     request.silence = m_settings->platformPoll + watchSlack;
     OutgoingCallbacks callbacks;
-    callbacks.onHead = [&reader](const AnswerHead &head) { reader.status = head.status; };
-    callbacks.onBody = [&reader](evbuffer *body) {
+    callbacks.onHead = [&call](const AnswerHead &head) { call.status = head.status; };
+    callbacks.onBody = [&call](evbuffer *body) {
         const std::size_t length = evbuffer_get_length(body);
-        const std::size_t before = reader.body.size();
-        reader.body.resize(before + length);
-        evbuffer_remove(body, reader.body.data() + before, length);
+        const std::size_t before = call.body.size();
+        call.body.resize(before + length);
+        evbuffer_remove(body, call.body.data() + before, length);
     };
-    callbacks.onDone = [&reader] { reader.end(); };
-    callbacks.onFailed = [&reader](bool) {
-        reader.status = 0;
-        reader.end();
+    callbacks.onDone = [&call] { call.finish(); };
+    callbacks.onFailed = [&call](bool) {
+        call.status = 0;
+        call.finish();
     };
-    reader.exchange = std::make_unique<OutgoingExchange>(m_base, request, std::move(callbacks));
+    call.exchange = std::make_unique<OutgoingExchange>(m_base, request, std::move(callbacks));
 }
 
-void PlatformClient::onWatchTimer()
+void PlatformClient::onTimer(int /*descriptor*/, short /*what*/, void *call)
 {
-    if (!m_watch->isEnded) {
-        read(*m_watch, fmt::format("/v1/watch/head?after={}&wait_ms={}", m_version,
-                                   toMilliseconds(m_settings->platformPoll)));
-        return;
-    }
-    setReachable(m_watch->status != 0);
-    if (m_watch->status == 0)
-        ++m_addressIndex;
-    const bool isDocument = m_headVersion != 0;
-    const bool isOk = m_watch->status == statusOk;
-    if (isOk && !isDocument) {
-        onHead(m_watch->body);
-        if (m_headVersion != 0)
-            return;
-    } else if (isOk) {
-        onDocument(m_watch->body);
-    }
-    m_headVersion = 0;
-    m_watch->wait(isOk && isDocument ? Duration::zero() : retryInterval);
+    auto *ended = static_cast<Call *>(call);
+    ended->client->end(*ended);
 }
 
-void PlatformClient::onHead(const std::string &body)
+void PlatformClient::end(Call &call)
 {
-    const nlohmann::json head = nlohmann::json::parse(body, nullptr, false);
-    if (!head.is_object() || !head.contains("version") || !head["version"].is_number_unsigned()
-        || !head.contains("digest") || !head["digest"].is_string()) {
-        m_log->write("configuration_head_refused", { { "reason", "malformed" } });
-        return;
-    }
-    const auto version = head["version"].get<std::uint64_t>();
-    if (version <= m_version)
-        return;
-    m_headVersion = version;
-    m_headDigest = head["digest"].get<std::string>();
-    read(*m_watch, fmt::format("/v1/values/snapshot/{}/0", version));
-}
-
-void PlatformClient::onDocument(const std::string &body)
-{
-    if (digestOf(body) != m_headDigest) {
-        m_log->write(
-            "configuration_refused",
-            { { "version", std::to_string(m_headVersion) },
-              { "code", std::to_string(number(ResultCode::ConfigurationDigestMismatch)) } });
-        return;
-    }
-    auto parsed = parseConfiguration(body, fmt::format("snapshot/{}/0", m_headVersion));
-    if (const auto *faults = std::get_if<FaultList>(&parsed)) {
-        for (const Fault &fault : *faults)
-            m_log->write("configuration_refused", { { "version", std::to_string(m_headVersion) },
-                                                    { "fault", toText(fault) } });
-        return;
-    }
-    auto configuration =
-        std::make_shared<Configuration>(std::get<Configuration>(std::move(parsed)));
-    configuration->version = m_headVersion;
-    configuration->digest = m_headDigest;
-    m_version = m_headVersion;
-    m_sink(ConfigurationRead{ std::move(configuration) });
-}
-
-void PlatformClient::onHostsTimer()
-{
-    if (!m_hosts->isEnded) {
-        read(*m_hosts, "/v1/hosts");
-        return;
-    }
-    const bool isOk = m_hosts->status == statusOk;
-    if (isOk)
-        onHosts(m_hosts->body);
-    m_hosts->wait(isOk ? hostsInterval : retryInterval);
+    call.exchange.reset();
+    setReachable(call.status != 0);
+    const bool isHostList = &call == m_hosts.get();
+    if (call.status == 0 || (isHostList && call.status != statusOk))
+        m_sink(PlatformUnreachable{ call.name });
+    else if (isHostList)
+        endHostList(call.body);
+    else
+        m_sink(PlatformValue{ call.name, call.status, std::move(call.body) });
 }
 
-void PlatformClient::onHosts(const std::string &body)
+void PlatformClient::endHostList(const std::string &body)
 {
     try {
         m_sink(parseHosts(nlohmann::json::parse(body)));
     } catch (const nlohmann::json::exception &failure) {
         m_log->write("host_list_refused", { { "reason", failure.what() } });
+        m_sink(PlatformUnreachable{ "hosts" });
     }
 }
 
--- a/currantreel/src/Shell/PlatformClient.h
+++ b/currantreel/src/Shell/PlatformClient.h
@@ -3,6 +3,7 @@
 
 #include "../Log/Log.h"
 #include "../Settings/HostSettings.h"
+#include "../World/Effect.h"
 #include "../World/Event.h"
 #include "EventHandles.h"
 #include "OutgoingExchange.h"
@@ -12,8 +13,8 @@
 
 namespace currantreel {
 
-/// Reads what the platform publishes: the configuration's head and document, and the host list.
-/// It never writes. While the platform is down the last values stay in force.
+/// Carries out reads and watches of what the platform publishes, one of the configuration and one of
+/// the host list at a time. It never writes.
 class PlatformClient
 {
 public:
@@ -23,35 +24,28 @@
     PlatformClient(const PlatformClient &) = delete;
     PlatformClient &operator=(const PlatformClient &) = delete;
 
-    /// Begins to watch.
-    void start();
-
-    [[nodiscard]] bool isReachable() const { return m_isReachable; }
-    [[nodiscard]] std::uint64_t calls() const { return m_calls; }
+    /// Each call is answered by PlatformValue, HostListRead or PlatformUnreachable.
+    void watch(const WatchPlatform &effect);
+    void read(const ReadPlatform &effect);
+    void readHostList();
 
 private:
-    /// One series of reads; a finished one is looked at when its timer fires, outside of the
-    /// exchange's own callbacks.
-    struct Reader;
-
-    void read(Reader &reader, const std::string &path);
-    void onWatchTimer();
-    void onHostsTimer();
-    void onHead(const std::string &body);
-    void onDocument(const std::string &body);
-    void onHosts(const std::string &body);
+    /// One call; a finished one is looked at when its timer fires, outside of the exchange's own
+    /// callbacks.
+    struct Call;
+
+    void begin(Call &call, std::string name, std::string path);
+    static void onTimer(int descriptor, short what, void *call);
+    void end(Call &call);
+    void endHostList(const std::string &body);
     void setReachable(bool isReachable);
 
     event_base *m_base;
     const HostSettings *m_settings;
     const Log *m_log;
     std::function<void(Event)> m_sink;
-    std::unique_ptr<Reader> m_watch;
-    std::unique_ptr<Reader> m_hosts;
-    std::uint64_t m_version = 0; ///< Version in force.
-    std::uint64_t m_headVersion = 0; ///< Version being read; 0 while the head is watched.
-    std::string m_headDigest;
-    std::uint64_t m_calls = 0;
+    std::unique_ptr<Call> m_configuration;
+    std::unique_ptr<Call> m_hosts;
     std::size_t m_addressIndex = 0;
     bool m_isReachable = false;
 };
--- a/currantreel/src/World/Effect.h
+++ b/currantreel/src/World/Effect.h
@@ -3,6 +3,7 @@
 
 #include "../Core/Id.h"
 #include "../Core/Outcome.h"
+#include "../Core/Result.h"
 #include "../Core/ResultCode.h"
 #include "../Core/Time.h"
 #include "../Keys/IdempotencyKey.h"
@@ -122,16 +123,40 @@
     std::uint64_t version = 0;
 };
 
+/// A published patch was rejected or is held, or another host's log differs.
+struct PatchRefused
+{
+    std::uint64_t number = 0;
+    Error error;
+};
+
+/// Wait until the platform publishes a head beyond @ref after.
+struct WatchPlatform
+{
+    std::uint64_t after = 0;
+};
+
+/// Read a published value.
+struct ReadPlatform
+{
+    std::string path; ///< Below the platform's values, as in patch/7.
+};
+
+/// Read the platform's list of hosts and backend servers.
+struct ReadHostList
+{
+};
+
 /// Every request in progress has ended after StopOrdered; the process may exit.
 struct StopCompleted
 {
 };
 
 /// Everything that a host does.
-using Effect =
-    std::variant<StartAttempt, CancelAttempt, RelayAttempt, FinishReply, RefuseRequest,
-                 ForwardRequest, KeyIssued, KeyAssigned, KeyStateTold, KeepAnswer, ReplayAnswer,
-                 DropAnswer, CloseExchange, SendPeer, ConfigurationInForce, StopCompleted>;
+using Effect = std::variant<StartAttempt, CancelAttempt, RelayAttempt, FinishReply, RefuseRequest,
+                            ForwardRequest, KeyIssued, KeyAssigned, KeyStateTold, KeepAnswer,
+                            ReplayAnswer, DropAnswer, CloseExchange, SendPeer, ConfigurationInForce,
+                            PatchRefused, WatchPlatform, ReadPlatform, ReadHostList, StopCompleted>;
 
 using EffectList = std::vector<Effect>;
 
--- a/currantreel/src/World/Event.h
+++ b/currantreel/src/World/Event.h
@@ -93,12 +93,26 @@
     RequestId request;
 };
 
-/// A configuration was read and checked.
+/// A whole configuration was given, as in a replay, which has no platform.
 struct ConfigurationRead
 {
     std::shared_ptr<const Configuration> configuration;
 };
 
+/// The platform answered a read or watch of a published value.
+struct PlatformValue
+{
+    std::string path; ///< As in ReadPlatform; "head" for a watch.
+    int status = 0; ///< Of HTTP.
+    std::string body;
+};
+
+/// The platform did not answer.
+struct PlatformUnreachable
+{
+    std::string path; ///< As in ReadPlatform; "head" for a watch, "hosts" for the host list.
+};
+
 /// The platform's lagging list was read.
 struct HostListRead
 {
@@ -121,7 +135,8 @@
 /// Everything that can happen to a host.
 using Event = std::variant<RequestArrived, KeyRequested, KeyStateAsked, CallerLeft, AttemptHead,
                            AttemptTokens, AttemptDone, AttemptFailed, ForwardFailed, ForwardDone,
-                           ConfigurationRead, HostListRead, PeerMessageReceived, StopOrdered>;
+                           ConfigurationRead, PlatformValue, PlatformUnreachable, HostListRead,
+                           PeerMessageReceived, StopOrdered>;
 
 } // namespace currantreel
 
--- a/currantreel/src/World/PeerMessage.h
+++ b/currantreel/src/World/PeerMessage.h
@@ -2,13 +2,15 @@
 #define CURRANTREEL_WORLD_PEERMESSAGE_H
 
 #include "../Admission/GrantMessages.h"
+#include "../Configuration/ConfigurationMessages.h"
 #include <variant>
 
 namespace currantreel {
 
 /// Everything that hosts say to each other, and that a host says to itself in another role.
-using PeerMessage =
-    std::variant<GrantRequest, Granted, GrantShed, GrantWithdrawn, LeaseReleased, LeaseRenewal>;
+using PeerMessage = std::variant<GrantRequest, Granted, GrantShed, GrantWithdrawn, LeaseReleased,
+                                 LeaseRenewal, ConfigurationAnnounce, PatchRequest, PatchBatch,
+                                 SnapshotRequest, SnapshotPart, LeavingServers>;
 
 } // namespace currantreel
 
--- a/currantreel/src/World/World.cpp
+++ b/currantreel/src/World/World.cpp
@@ -4,7 +4,7 @@
 
 template <RoutingPolicy Policy>
 BasicWorld<Policy>::BasicWorld(HostIdentity self, const KeySecret &secret)
-    : m_entry(self.incarnation), m_keys(self, secret)
+    : m_entry(self.incarnation), m_keys(self, secret), m_configuration(self)
 {
     m_context.self = std::move(self);
 }
@@ -18,6 +18,9 @@
         std::visit([this](const auto &one) { this->apply(one); }, event);
         deliver();
     }
+    if (m_configuration.run(m_context))
+        m_owner.configure(m_context);
+    deliver();
     m_entry.run(m_context, m_counters, m_keys);
     deliver();
     m_owner.run(m_context, m_counters);
@@ -131,6 +134,7 @@
     if (event.configuration->version <= m_context.configuration->version)
         return;
     m_context.configuration = event.configuration;
+    m_configuration.skipCatchUp();
     m_owner.configure(m_context);
     m_context.emit(ConfigurationInForce{ event.configuration->version });
 }
@@ -142,6 +146,19 @@
     for (const HostEntry &host : event.hosts)
         m_context.hosts.insert(host);
     m_owner.updateLiveness(event.backendServers);
+    m_configuration.onHostList(m_context, event);
+}
+
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::apply(const PlatformValue &event)
+{
+    m_configuration.onValue(m_context, event);
+}
+
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::apply(const PlatformUnreachable &event)
+{
+    m_configuration.onUnreachable(m_context, event);
 }
 
 template <RoutingPolicy Policy>
@@ -192,6 +209,45 @@
     m_owner.onRenewal(m_context, message);
 }
 
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::receive(HostId from, const ConfigurationAnnounce &message)
+{
+    m_configuration.receive(m_context, from, message);
+}
+
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::receive(HostId from, const PatchRequest &message)
+{
+    m_configuration.receive(m_context, from, message);
+}
+
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::receive(HostId from, const PatchBatch &message)
+{
+    m_configuration.receive(m_context, from, message);
+}
+
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::receive(HostId from, const SnapshotRequest &message)
+{
+    m_configuration.receive(m_context, from, message);
+}
+
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::receive(HostId from, const SnapshotPart &message)
+{
+    m_configuration.receive(m_context, from, message);
+}
+
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::receive(HostId /*from*/, const LeavingServers &message)
+{
+    std::vector<BackendServerEntry> entries;
+    for (const BackendServerId id : message.servers)
+        entries.push_back({ id, Liveness::Leaving });
+    m_owner.updateLiveness(entries);
+}
+
 template class BasicWorld<TieredPolicy>;
 
 } // namespace currantreel
--- a/currantreel/src/World/World.h
+++ b/currantreel/src/World/World.h
@@ -1,6 +1,7 @@
 #ifndef CURRANTREEL_WORLD_WORLD_H
 #define CURRANTREEL_WORLD_WORLD_H
 
+#include "ConfigurationSystem.h"
 #include "Counters.h"
 #include "Effect.h"
 #include "EntrySystem.h"
@@ -29,6 +30,7 @@
     [[nodiscard]] const Configuration &configuration() const { return *m_context.configuration; }
     [[nodiscard]] const Counters &counters() const { return m_counters; }
     [[nodiscard]] const OwnerSystem<Policy> &owner() const { return m_owner; }
+    [[nodiscard]] const ConfigurationSystem &configurationSystem() const { return m_configuration; }
     [[nodiscard]] std::size_t requestsInProgress() const { return m_entry.size(); }
     [[nodiscard]] std::size_t keysInUse() const { return m_keys.size(); }
     [[nodiscard]] bool isStopping() const { return m_isStopping; }
@@ -37,7 +39,8 @@
     /// True once callers may be sent here: configuration and host list are known, no stop is under way.
     [[nodiscard]] bool isReady() const
     {
-        return m_context.configuration->version > 0 && m_hasHostList && !m_isStopping;
+        return m_context.configuration->version > 0 && m_configuration.isCaughtUp() && m_hasHostList
+               && !m_isStopping;
     }
 
 private:
@@ -52,6 +55,8 @@
     void apply(const ForwardFailed &event);
     void apply(const ForwardDone &event);
     void apply(const ConfigurationRead &event);
+    void apply(const PlatformValue &event);
+    void apply(const PlatformUnreachable &event);
     void apply(const HostListRead &event);
     void apply(const PeerMessageReceived &event);
     void apply(const StopOrdered &event);
@@ -62,6 +67,12 @@
     void receive(HostId from, const GrantWithdrawn &message);
     void receive(HostId from, const LeaseReleased &message);
     void receive(HostId from, const LeaseRenewal &message);
+    void receive(HostId from, const ConfigurationAnnounce &message);
+    void receive(HostId from, const PatchRequest &message);
+    void receive(HostId from, const PatchBatch &message);
+    void receive(HostId from, const SnapshotRequest &message);
+    void receive(HostId from, const SnapshotPart &message);
+    void receive(HostId from, const LeavingServers &message);
 
     void deliver();
     void sendToPeer(const OutgoingMessage &outgoing);
@@ -72,6 +83,7 @@
     EntrySystem m_entry;
     OwnerSystem<Policy> m_owner;
     KeySystem m_keys;
+    ConfigurationSystem m_configuration;
     bool m_hasHostList = false;
     bool m_isStopping = false;
     bool m_isStopReported = false;
--- a/test/PeerCodecTest.cpp
+++ b/test/PeerCodecTest.cpp
@@ -39,6 +39,12 @@
         LeaseReleased{ id, LeaseId{ 1 }, BackendServerId{ 2 }, LeaseEnd::Failed, 77, Duration(5),
                        Duration(6) },
         renewal,
+        ConfigurationAnnounce{ 7, std::string(32, 'f'), true },
+        PatchRequest{ 8, 9 },
+        PatchBatch{ 10, { { 8, 20, 9, "bytes" }, { 9, 3, 0, "all" } } },
+        SnapshotRequest{ 11, 12 },
+        SnapshotPart{ 13, 30, 14, "part" },
+        LeavingServers{ { BackendServerId{ 15 }, BackendServerId{ 16 } } },
     };
 }
 
@@ -98,6 +104,9 @@
     request.share = 1.0;
     request.answerIn = std::chrono::hours(25);
     CHECK(isError(decodeFrame(withoutPrefix(encoded(request)))));
+    CHECK(isError(decodeFrame(withoutPrefix(encoded(SnapshotPart{ 1, 10, 8, "part" })))));
+    CHECK(isError(decodeFrame(
+        withoutPrefix(encoded(ConfigurationAnnounce{ 1, std::string(65, 'f'), false })))));
 }
 
 TEST_CASE("damaged frames are refused or read, and never break the reader")
