--- a/currantreel/src/Shell/Daemon.h
+++ b/currantreel/src/Shell/Daemon.h
@@ -29,6 +29,10 @@
     void handle(const StartAttempt &effect);
     void handle(const SendPeer &effect);
     void handle(const ConfigurationInForce &effect);
+    void handle(const PatchRefused &effect);
+    void handle(const WatchPlatform &effect);
+    void handle(const ReadPlatform &effect);
+    void handle(const ReadHostList &effect);
     void handle(const StopCompleted &effect);
     template <typename T>
     void handle(const T &effect)
