Replay traces in virtual time against stated outcomes

Cause: nothing measured attainment, goodput and wasted work of the whole router under bursts and faults, and no baseline could run beside it.

Change: module Replay runs several real worlds under one virtual clock, with hand-written fakes of engines, services, platform and callers, over a recorded trace. Baselines fifo, round-robin, least-reported-load and no-owner run as policies of the same world.

--- a/apps/ToolCommands.cpp
+++ b/apps/ToolCommands.cpp
@@ -1,6 +1,7 @@
 #include "ToolCommands.h"
 
 #include "ToolHttp.h"
+#include "ToolReplay.h"
 #include <currantreel/Configuration>
 #include <currantreel/Core>
 #include <currantreel/Settings>
@@ -168,6 +169,8 @@
         return config(arguments);
     if (command == "status")
         return status(arguments);
+    if (command == "replay")
+        return replay(arguments);
     if (command == "codes")
         return codes();
     return usageError(fmt::format("unknown command '{}'", command));
--- a/apps/currantreel.cpp
+++ b/apps/currantreel.cpp
@@ -18,6 +18,8 @@
     "  config check FILE                check a configuration document\n"
     "  config init DIRECTORY FILE       lay out FILE as version 1 of a directory of values\n"
     "  status HOST...                   show hosts by their operator addresses\n"
+    "  replay TRACE                     run a trace in virtual time; --expect, --policy, --seed, "
+    "--compare\n"
     "  codes                            list the numbered result codes";
 
 } // namespace
--- a/currantreel/src/World/OwnerSystem.cpp
+++ b/currantreel/src/World/OwnerSystem.cpp
@@ -218,5 +218,9 @@
 }
 
 template class OwnerSystem<TieredPolicy>;
+template class OwnerSystem<FifoPolicy>;
+template class OwnerSystem<RoundRobinPolicy>;
+template class OwnerSystem<ReportedLoadPolicy>;
+template class OwnerSystem<NoOwnerPolicy>;
 
 } // namespace currantreel
--- a/currantreel/src/World/OwnerSystem.h
+++ b/currantreel/src/World/OwnerSystem.h
@@ -80,6 +80,10 @@
 };
 
 extern template class OwnerSystem<TieredPolicy>;
+extern template class OwnerSystem<FifoPolicy>;
+extern template class OwnerSystem<RoundRobinPolicy>;
+extern template class OwnerSystem<ReportedLoadPolicy>;
+extern template class OwnerSystem<NoOwnerPolicy>;
 
 } // namespace currantreel
 
--- a/currantreel/src/World/World.cpp
+++ b/currantreel/src/World/World.cpp
@@ -193,5 +193,9 @@
 }
 
 template class BasicWorld<TieredPolicy>;
+template class BasicWorld<FifoPolicy>;
+template class BasicWorld<RoundRobinPolicy>;
+template class BasicWorld<ReportedLoadPolicy>;
+template class BasicWorld<NoOwnerPolicy>;
 
 } // namespace currantreel
--- a/currantreel/src/World/World.h
+++ b/currantreel/src/World/World.h
@@ -78,6 +78,10 @@
 };
 
 extern template class BasicWorld<TieredPolicy>;
+extern template class BasicWorld<FifoPolicy>;
+extern template class BasicWorld<RoundRobinPolicy>;
+extern template class BasicWorld<ReportedLoadPolicy>;
+extern template class BasicWorld<NoOwnerPolicy>;
 
 /// The world as the daemon runs it.
 using World = BasicWorld<TieredPolicy>;
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -53,7 +53,10 @@
 
 start platform "$bin/standin-platform" --listen "$net.100:9000" --directory "$work"
 for domain in 1 2 3; do
-    start "engine-$domain" "$bin/standin-engine" --listen "$net.$domain:9101" --name "engine-$domain" --token_us 5000
+    for engine in 1 2 3; do
+        start "engine-$domain-$engine" "$bin/standin-engine" --listen "$net.$domain:910$engine" \
+            --name "engine-$domain-$engine" --token_us 5000
+    done
     start "payment-$domain" "$bin/standin-service" --listen "$net.$domain:9201" --name "payment-$domain"
 done
 for host in edirne-a-1 edirne-b-1 uzunkopru-1; do
--- /dev/null
+++ b/scripts/replay-all.sh
@@ -0,0 +1,35 @@
+#!/usr/bin/env bash
+# Runs every trace against its stated outcomes and prints a table. Exits 1 if one is missed, 2 if a
+# trace cannot be run. Arguments go to each replay, as in: scripts/replay-all.sh --seed 3
+set -euo pipefail
+cd "$(dirname "$0")/.."
+tool=$PWD/build/currantreel
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+
+replay() { # replay TRACE ARGUMENT...: leaves output and exit status in the work directory
+    local trace=$1 name status=0
+    shift
+    name=$(basename "$trace" .trace)
+    "$tool" replay "$trace" --expect "${trace%.trace}.outcomes.toml" "$@" > "$work/$name.out" 2>&1 \
+        || status=$?
+    echo "$status" > "$work/$name.status"
+}
+export -f replay
+export tool work
+printf '%s\0' traces/*.trace | xargs -0 -P 4 -I {} bash -c 'replay "$@"' _ {} "$@"
+
+worst=0
+for trace in traces/*.trace; do
+    name=$(basename "$trace" .trace)
+    status=$(cat "$work/$name.status")
+    case $status in
+        0) verdict=held ;;
+        1) verdict=MISSED ;;
+        *) verdict=BROKEN ;;
+    esac
+    printf '%-7s %-26s %s\n' "$verdict" "$name" "$(grep -m 1 'goodput' "$work/$name.out" || true)"
+    [ "$status" = 0 ] || grep -E 'MISSED|\([0-9]{4} ' "$work/$name.out" || head -5 "$work/$name.out"
+    [ "$status" -le "$worst" ] || worst=$status
+done
+exit "$worst"
