--- a/currantreel/src/World/World.cpp
+++ b/currantreel/src/World/World.cpp
@@ -249,5 +249,9 @@
 }
 
 template class BasicWorld<TieredPolicy>;
+template class BasicWorld<FifoPolicy>;
+template class BasicWorld<RoundRobinPolicy>;
+template class BasicWorld<ReportedLoadPolicy>;
+template class BasicWorld<NoOwnerPolicy>;
 
 } // namespace currantreel
