Owner: learned limits, early truthful refusal, prefix affinity, stragglers, indexed tables

Cause: each grant scanned all servers, each tick all leases, each withdrawal all queues; nothing paused a failing server; retry-after was a constant; answer lengths, engine memory and prefixes were not considered. Change: ServerPool orders free servers of a target by load and pauses, ejects and readmits them; LeaseBook expires in order; Limits learns answer lengths, slot limits, paces and waits; AffinityChoice bounds prefix affinity by load.

--- a/currantreel/src/World/OwnerSystem.cpp
+++ b/currantreel/src/World/OwnerSystem.cpp
@@ -9,6 +9,10 @@
 
 constexpr std::uint64_t serviceTargetSalt = 0x5EBF1CE5ULL;
 
+/// Bounds of the advice to a caller who was shed.
+constexpr Duration shortestRetryAfter = std::chrono::milliseconds(100);
+constexpr Duration longestRetryAfter = std::chrono::minutes(1);
+
 std::vector<TargetId> targetsOf(const BackendServer &server)
 {
     if (server.kind == BackendKind::Service)
@@ -19,6 +23,11 @@
     return targets;
 }
 
+std::uint64_t memoryOf(const GrantRequest &request)
+{
+    return std::uint64_t{ request.promptTokens } + request.predictedTokens;
+}
+
 } // namespace
 
 TargetId targetOfModel(ModelId model)
@@ -34,19 +43,12 @@
 template <RoutingPolicy Policy>
 void OwnerSystem<Policy>::configure(const StepContext &context)
 {
-    const Configuration &configuration = *context.configuration;
-    m_servers.removeIf(
-        [&](const ServerRow &row) { return !configuration.backendServers.find(row.id); });
-    for (const BackendServer &server : configuration.backendServers) {
-        if (server.failureDomain != context.self.failureDomain)
-            continue;
-        ServerRow *known = m_servers.find(server.id);
-        ServerRow &row =
-            known ? *known : m_servers.insert(ServerRow{ server.id, {}, 0, 0, false, {} });
-        row.targets = targetsOf(server);
-        row.slots = server.slots;
-        row.isLeaving = m_leaving.contains(server.id);
+    for (const BackendServer &server : context.configuration->backendServers) {
+        if (server.failureDomain == context.self.failureDomain)
+            m_pool.declare(server, targetsOf(server));
     }
+    m_pool.removeUndeclared();
+    m_pool.setLeaving(m_leaving);
 }
 
 template <RoutingPolicy Policy>
@@ -57,164 +59,272 @@
         if (entry.liveness == Liveness::Leaving)
             m_leaving.insert(entry.id);
     }
-    for (ServerRow &row : m_servers)
-        row.isLeaving = m_leaving.contains(row.id);
+    m_pool.setLeaving(m_leaving);
+}
+
+template <RoutingPolicy Policy>
+typename OwnerSystem<Policy>::TargetState &OwnerSystem<Policy>::stateOf(const StepContext &context,
+                                                                        TargetId target)
+{
+    return m_states.try_emplace(target, context.configuration->floorPermille).first->second;
 }
 
 template <RoutingPolicy Policy>
-typename OwnerSystem<Policy>::Queue &OwnerSystem<Policy>::queueOf(const StepContext &context,
-                                                                  TargetId target)
+QueuedGrant OwnerSystem<Policy>::queuedGrantOf(const StepContext &context,
+                                               const GrantRequest &request) const
 {
-    return m_queues.try_emplace(target, context.configuration->floorPermille).first->second;
+    const TimePoint now = context.now;
+    QueuedGrant grant{ request, now, now + request.firstTokenIn, now + request.answerIn,
+                       now + request.queueBound };
+    if (grant.request.predictedTokens == 0)
+        grant.request.predictedTokens = m_lengths.upper(request.requestClass);
+    const auto learned = m_firstToken.find(request.requestClass);
+    // At most half of the target: else a spell of slow engines would forbid every later try.
+    if (learned != m_firstToken.end())
+        grant.firstTokenAfter = std::clamp(learned->second.mean(), Duration::zero(),
+                                           std::max(request.firstTokenIn / 2, Duration::zero()));
+    return grant;
 }
 
 template <RoutingPolicy Policy>
-bool OwnerSystem<Policy>::hasServer(TargetId target) const
+Duration OwnerSystem<Policy>::waitOf(const TargetState &state, const QueuedGrant &grant) const
 {
-    return std::any_of(m_servers.begin(), m_servers.end(), [target](const ServerRow &row) {
-        return !row.isLeaving
-               && std::find(row.targets.begin(), row.targets.end(), target) != row.targets.end();
-    });
+    if constexpr (MeasuredGrantQueue<Queue>) {
+        if (state.queue.size() == 0 && m_pool.hasFree(grant.request.target))
+            return Duration::zero();
+        return state.estimate.wait(state.queue.ahead(grant), m_pool.slots(grant.request.target));
+    }
+    return Duration::zero();
+}
+
+template <RoutingPolicy Policy>
+bool OwnerSystem<Policy>::isUnreachable(const TargetState &state, const QueuedGrant &grant,
+                                        Duration wait) const
+{
+    if (!grant.request.isWorthlessWhenLate || wait == Duration::zero())
+        return false;
+    const TimePoint firstToken = grant.queuedAt + wait + grant.firstTokenAfter;
+    const Duration shortestAnswer =
+        state.interToken.mean() * m_lengths.lower(grant.request.requestClass);
+    return firstToken > grant.firstTokenBy || firstToken + shortestAnswer > grant.answerBy;
+}
+
+template <RoutingPolicy Policy>
+bool OwnerSystem<Policy>::isOverShare(const Queue &queue, const QueuedGrant &grant) const
+{
+    if constexpr (MeasuredGrantQueue<Queue>) {
+        // A workspace may fill as much of the queue as it leaves free, so that others find room.
+        const Tier tier = grant.request.tier;
+        const std::size_t used = queue.sizeUpTo(tier);
+        const std::size_t own = queue.sizeOf(tier, grant.request.workspace);
+        return own + used >= timing::queueCapacity;
+    }
+    return false;
+}
+
+template <RoutingPolicy Policy>
+bool OwnerSystem<Policy>::makeRoom(StepContext &context, Counters &counters, TargetState &state,
+                                   const QueuedGrant &grant)
+{
+    if (isOverShare(state.queue, grant))
+        return false;
+    if (state.queue.size() < timing::queueCapacity)
+        return true;
+    const auto victim = state.queue.popVictim(grant.request.tier);
+    if (!victim)
+        return false;
+    m_targetOf.erase(victim->request.id);
+    shed(context, counters, state, *victim, ResultCode::QueueFull);
+    return true;
 }
 
 template <RoutingPolicy Policy>
 void OwnerSystem<Policy>::onRequest(StepContext &context, Counters &counters,
                                     const GrantRequest &request)
 {
-    const TimePoint now = context.now;
-    QueuedGrant grant{ request, now, now + request.firstTokenIn, now + request.answerIn,
-                       now + request.queueBound };
-    if (!hasServer(request.target)) {
-        shed(context, counters, grant, ResultCode::NoBackendServer);
+    GrantRequest checked = request;
+    checked.tier = std::min<Tier>(request.tier, tierCount - 1);
+    if (!m_pool.hasServer(checked.target)) {
+        sendShed(context, counters, checked, ResultCode::NoBackendServer, timing::shedRetryAfter);
         return;
     }
-    Queue &queue = queueOf(context, request.target);
-    if (queue.size() >= timing::queueCapacity) {
-        const auto victim = queue.popVictim(request.tier);
-        shed(context, counters, victim ? *victim : grant, ResultCode::QueueFull);
-        if (!victim)
-            return;
+    TargetState &state = stateOf(context, checked.target);
+    QueuedGrant grant = queuedGrantOf(context, checked);
+    if (isUnreachable(state, grant, waitOf(state, grant))) {
+        shed(context, counters, state, grant, ResultCode::TargetUnreachable);
+        return;
     }
-    queue.push(std::move(grant));
+    if (!makeRoom(context, counters, state, grant)) {
+        shed(context, counters, state, grant, ResultCode::QueueFull);
+        return;
+    }
+    enqueue(state, std::move(grant));
+}
+
+template <RoutingPolicy Policy>
+void OwnerSystem<Policy>::enqueue(TargetState &state, QueuedGrant grant)
+{
+    const TargetId target = grant.request.target;
+    m_targetOf.insert_or_assign(grant.request.id, target);
+    m_waiting.insert(target);
+    state.queue.push(std::move(grant));
 }
 
 template <RoutingPolicy Policy>
 void OwnerSystem<Policy>::onWithdrawn(const GrantWithdrawn &message)
 {
-    for (auto &[target, queue] : m_queues) {
-        if (queue.remove(message.id))
-            return;
-    }
+    const auto found = m_targetOf.find(message.id);
+    if (found == m_targetOf.end())
+        return;
+    m_states.at(found->second).queue.remove(message.id);
+    m_targetOf.erase(found);
 }
 
 template <RoutingPolicy Policy>
-void OwnerSystem<Policy>::onReleased(const LeaseReleased &message)
+void OwnerSystem<Policy>::endLease(const Lease &lease)
 {
-    endLease(message.lease);
+    m_pool.release(lease.server, lease.tokens);
 }
 
 template <RoutingPolicy Policy>
-void OwnerSystem<Policy>::onRenewal(const StepContext &context, const LeaseRenewal &message)
+void OwnerSystem<Policy>::onReleased(const StepContext &context, const LeaseReleased &message)
 {
-    for (const LeaseRenewal::Item &item : message.items) {
-        if (LeaseRow *lease = m_leases.find(item.lease))
-            lease->expires = context.now + timing::leasePeriod;
+    const std::optional<Lease> lease = m_leases.remove(message.lease, message.id);
+    if (!lease)
+        return;
+    endLease(*lease);
+    if constexpr (MeasuredGrantQueue<Queue>) {
+        m_pool.learn(context.now, { lease->server, message.end, message.firstToken,
+                                    message.interToken, lease->firstTokenTarget });
+        if (message.end != LeaseEnd::Completed)
+            return;
+        TargetState &state = stateOf(context, lease->target);
+        state.estimate.onReleased(context.now - lease->grantedAt);
+        if (message.firstToken > Duration::zero())
+            m_firstToken[lease->requestClass].add(message.firstToken);
+        if (message.interToken > Duration::zero())
+            state.interToken.add(message.interToken);
+        if (message.tokens > 0)
+            m_lengths.add(lease->requestClass, message.tokens);
     }
 }
 
 template <RoutingPolicy Policy>
-void OwnerSystem<Policy>::endLease(LeaseId lease)
+void OwnerSystem<Policy>::onRenewal(const StepContext &context, const LeaseRenewal &message)
 {
-    const LeaseRow *row = m_leases.find(lease);
-    if (!row)
-        return;
-    ServerRow *server = m_servers.find(row->server);
-    if (server && server->inFlight > 0)
-        --server->inFlight;
-    m_leases.remove(lease);
+    for (const LeaseRenewal::Item &item : message.items)
+        m_leases.renew(item.lease, context.now + timing::leasePeriod);
 }
 
 template <RoutingPolicy Policy>
-void OwnerSystem<Policy>::expireLeases(TimePoint now)
+std::vector<ServerCandidate> OwnerSystem<Policy>::candidatesFor(TargetId target,
+                                                                const GrantRequest &request) const
 {
-    std::vector<LeaseId> expired;
-    for (const LeaseRow &row : m_leases) {
-        if (row.expires <= now)
-            expired.push_back(row.id);
-    }
-    for (const LeaseId lease : expired)
-        endLease(lease);
+    BackendServerId preferred;
+    if constexpr (AffineServerChoice<typename Policy::Choice>)
+        preferred = m_choice.preferred(request);
+    const std::uint64_t memory = PeekableGrantQueue<Queue> ? memoryOf(request) : 0;
+    return m_pool.candidates(target, memory, preferred);
 }
 
 template <RoutingPolicy Policy>
-std::vector<ServerCandidate> OwnerSystem<Policy>::freeServers(const StepContext &context,
-                                                              TargetId target) const
+bool OwnerSystem<Policy>::grantNext(StepContext &context, Counters &counters, TargetState &state,
+                                    TargetId target)
 {
     std::vector<ServerCandidate> candidates;
-    for (const ServerRow &row : m_servers) {
-        const bool canServe =
-            std::find(row.targets.begin(), row.targets.end(), target) != row.targets.end();
-        const bool isFree =
-            !row.isLeaving && row.inFlight < row.slots && row.refusedUntil <= context.now;
-        if (canServe && isFree)
-            candidates.push_back(ServerCandidate{ row.id, row.inFlight, row.slots });
+    std::optional<QueuedGrant> next;
+    if constexpr (PeekableGrantQueue<Queue>) {
+        // A floor grant that fits nowhere must not hold up the highest tier.
+        bool mayPayFloor = true;
+        candidates = candidatesFor(target, state.queue.next(context.now, true)->request);
+        if (candidates.empty()) {
+            mayPayFloor = false;
+            candidates = candidatesFor(target, state.queue.next(context.now, false)->request);
+        }
+        if (candidates.empty())
+            return false;
+        next = state.queue.pop(context.now, mayPayFloor);
+    } else {
+        next = state.queue.pop(context.now);
+        candidates = candidatesFor(target, next->request);
     }
-    return candidates;
+    m_targetOf.erase(next->request.id);
+    const std::size_t chosen = m_choice.choose(candidates, *next);
+    grant(context, counters, *next, candidates[chosen].id);
+    return true;
 }
 
 template <RoutingPolicy Policy>
 void OwnerSystem<Policy>::grant(StepContext &context, Counters &counters, const QueuedGrant &grant,
-                                ServerRow &server)
+                                BackendServerId server)
 {
-    const LeaseId lease{ m_nextLease++ };
-    ++server.inFlight;
+    const GrantRequest &request = grant.request;
+    Lease lease;
+    lease.id = LeaseId{ m_nextLease++ };
+    lease.grant = request.id;
+    lease.server = server;
+    lease.target = request.target;
+    lease.requestClass = request.requestClass;
+    lease.tier = request.tier;
+    lease.isPreemptible = request.isPreemptible;
+    lease.tokens = memoryOf(request);
+    lease.firstTokenTarget = grant.firstTokenBy - grant.queuedAt;
+    lease.grantedAt = context.now;
+    lease.expires = context.now + timing::leasePeriod;
+    m_leases.add(lease);
+    m_pool.acquire(server, lease.tokens);
+    if constexpr (AffineServerChoice<typename Policy::Choice>)
+        m_choice.onGranted(request, server);
     ++counters.grants;
-    const GrantId id = grant.request.id;
-    m_leases.insert(LeaseRow{ lease, id, server.id, context.now + timing::leasePeriod });
-    context.send(id.entry, Granted{ id, lease, server.id, timing::leasePeriod });
+    context.send(request.id.entry, Granted{ request.id, lease.id, server, timing::leasePeriod });
 }
 
 template <RoutingPolicy Policy>
-void OwnerSystem<Policy>::shed(StepContext &context, Counters &counters, const QueuedGrant &grant,
-                               ResultCode code)
+void OwnerSystem<Policy>::shed(StepContext &context, Counters &counters, const TargetState &state,
+                               const QueuedGrant &grant, ResultCode code)
 {
-    ++counters.shed[grant.request.tier];
-    const GrantId id = grant.request.id;
-    context.send(id.entry, GrantShed{ id, code, timing::shedRetryAfter });
+    // A caller who comes back once the wait has shrunk to its target finds room.
+    const Duration wait = waitOf(state, grant);
+    const Duration target = std::max(grant.firstTokenBy - grant.queuedAt, Duration::zero());
+    const Duration retryAfter = code == ResultCode::TargetUnreachable ? wait - target / 2 : wait;
+    sendShed(context, counters, grant.request, code,
+             std::clamp(retryAfter, shortestRetryAfter, longestRetryAfter));
 }
 
 template <RoutingPolicy Policy>
-void OwnerSystem<Policy>::run(StepContext &context, Counters &counters)
+void OwnerSystem<Policy>::sendShed(StepContext &context, Counters &counters,
+                                   const GrantRequest &request, ResultCode code,
+                                   Duration retryAfter)
 {
-    expireLeases(context.now);
-    for (auto &[target, queue] : m_queues) {
-        while (const auto late = queue.popExpired(context.now))
-            shed(context, counters, *late, ResultCode::TargetUnreachable);
-        while (queue.size() > 0) {
-            const std::vector<ServerCandidate> candidates = freeServers(context, target);
-            if (candidates.empty())
-                break;
-            const QueuedGrant next = *queue.pop(context.now);
-            const std::size_t chosen = m_choice.choose(candidates, next);
-            grant(context, counters, next, *m_servers.find(candidates[chosen].id));
-        }
-    }
+    ++counters.shed[request.tier];
+    context.send(request.id.entry, GrantShed{ request.id, code, retryAfter });
 }
 
 template <RoutingPolicy Policy>
-std::size_t OwnerSystem<Policy>::queued() const
+void OwnerSystem<Policy>::runTarget(StepContext &context, Counters &counters, TargetId target)
 {
-    std::size_t total = 0;
-    for (const auto &[target, queue] : m_queues)
-        total += queue.size();
-    return total;
+    TargetState &state = m_states.at(target);
+    while (const auto late = state.queue.popExpired(context.now)) {
+        m_targetOf.erase(late->request.id);
+        shed(context, counters, state, *late, ResultCode::TargetUnreachable);
+    }
+    while (state.queue.size() > 0 && m_pool.hasFree(target)) {
+        if (!grantNext(context, counters, state, target))
+            break;
+    }
 }
 
 template <RoutingPolicy Policy>
-std::uint32_t OwnerSystem<Policy>::inFlight(BackendServerId server) const
+void OwnerSystem<Policy>::run(StepContext &context, Counters &counters)
 {
-    const ServerRow *row = m_servers.find(server);
-    return row ? row->inFlight : 0;
+    while (const auto lease = m_leases.takeExpired(context.now))
+        endLease(*lease);
+    m_pool.run(context.now);
+    for (auto target = m_waiting.begin(); target != m_waiting.end();) {
+        runTarget(context, counters, *target);
+        const bool isEmpty = m_states.at(*target).queue.size() == 0;
+        target = isEmpty ? m_waiting.erase(target) : std::next(target);
+    }
 }
 
 template class OwnerSystem<TieredPolicy>;
--- a/currantreel/src/World/OwnerSystem.h
+++ b/currantreel/src/World/OwnerSystem.h
@@ -1,12 +1,18 @@
 #ifndef CURRANTREEL_WORLD_OWNERSYSTEM_H
 #define CURRANTREEL_WORLD_OWNERSYSTEM_H
 
+#include "../Limits/AnswerLengths.h"
+#include "../Limits/MovingAverage.h"
+#include "../Limits/WaitEstimate.h"
 #include "Counters.h"
 #include "Event.h"
+#include "LeaseBook.h"
 #include "RoutingPolicy.h"
+#include "ServerPool.h"
 #include "StepContext.h"
 #include <map>
 #include <set>
+#include <unordered_map>
 
 namespace currantreel {
 
@@ -29,52 +35,64 @@
 
     void onRequest(StepContext &context, Counters &counters, const GrantRequest &request);
     void onWithdrawn(const GrantWithdrawn &message);
-    void onReleased(const LeaseReleased &message);
+    void onReleased(const StepContext &context, const LeaseReleased &message);
     void onRenewal(const StepContext &context, const LeaseRenewal &message);
 
     /// Grants free slots, sheds what waited too long, ends leases that were not renewed.
     void run(StepContext &context, Counters &counters);
 
     /// Requests that wait for a grant.
-    [[nodiscard]] std::size_t queued() const;
+    [[nodiscard]] std::size_t queued() const { return m_targetOf.size(); }
     /// Leases in use on @p server.
-    [[nodiscard]] std::uint32_t inFlight(BackendServerId server) const;
+    [[nodiscard]] std::uint32_t inFlight(BackendServerId server) const
+    {
+        return m_pool.inFlight(server);
+    }
+    /// Learned limit of @p server; 0 while it gets no grants.
+    [[nodiscard]] std::uint32_t limit(BackendServerId server) const { return m_pool.limit(server); }
 
 private:
     using Queue = typename Policy::Queue;
 
-    struct ServerRow
+    struct TargetState
     {
-        BackendServerId id;
-        std::vector<TargetId> targets;
-        std::uint32_t slots = 0;
-        std::uint32_t inFlight = 0;
-        bool isLeaving = false;
-        TimePoint refusedUntil; ///< No grants before, after the server refused or failed.
-    };
+        explicit TargetState(const std::vector<std::uint32_t> &floors) : queue(floors) { }
 
-    struct LeaseRow
-    {
-        LeaseId id;
-        GrantId grant;
-        BackendServerId server;
-        TimePoint expires;
+        Queue queue;
+        WaitEstimate estimate;
+        MovingAverage interToken;
     };
 
+    TargetState &stateOf(const StepContext &context, TargetId target);
+    [[nodiscard]] QueuedGrant queuedGrantOf(const StepContext &context,
+                                            const GrantRequest &request) const;
+    [[nodiscard]] Duration waitOf(const TargetState &state, const QueuedGrant &grant) const;
+    [[nodiscard]] bool isUnreachable(const TargetState &state, const QueuedGrant &grant,
+                                     Duration wait) const;
+    [[nodiscard]] bool isOverShare(const Queue &queue, const QueuedGrant &grant) const;
+    bool makeRoom(StepContext &context, Counters &counters, TargetState &state,
+                  const QueuedGrant &grant);
+    void enqueue(TargetState &state, QueuedGrant grant);
+    void shed(StepContext &context, Counters &counters, const TargetState &state,
+              const QueuedGrant &grant, ResultCode code);
+    void sendShed(StepContext &context, Counters &counters, const GrantRequest &request,
+                  ResultCode code, Duration retryAfter);
+    bool grantNext(StepContext &context, Counters &counters, TargetState &state, TargetId target);
+    [[nodiscard]] std::vector<ServerCandidate> candidatesFor(TargetId target,
+                                                             const GrantRequest &request) const;
     void grant(StepContext &context, Counters &counters, const QueuedGrant &grant,
-               ServerRow &server);
-    void shed(StepContext &context, Counters &counters, const QueuedGrant &grant, ResultCode code);
-    [[nodiscard]] std::vector<ServerCandidate> freeServers(const StepContext &context,
-                                                           TargetId target) const;
-    [[nodiscard]] bool hasServer(TargetId target) const;
-    Queue &queueOf(const StepContext &context, TargetId target);
-    void endLease(LeaseId lease);
-    void expireLeases(TimePoint now);
-
-    std::map<TargetId, Queue> m_queues;
+               BackendServerId server);
+    void endLease(const Lease &lease);
+    void runTarget(StepContext &context, Counters &counters, TargetId target);
+
+    std::map<TargetId, TargetState> m_states;
+    std::unordered_map<GrantId, TargetId> m_targetOf; ///< Of every request that waits.
+    std::set<TargetId> m_waiting; ///< Targets for which requests wait.
     typename Policy::Choice m_choice;
-    Table<ServerRow> m_servers;
-    Table<LeaseRow> m_leases;
+    ServerPool m_pool;
+    LeaseBook m_leases;
+    AnswerLengths m_lengths;
+    std::unordered_map<ClassId, MovingAverage> m_firstToken; ///< From grant to first token.
     std::set<BackendServerId> m_leaving;
     std::uint64_t m_nextLease = 1;
 };
--- a/currantreel/src/World/RoutingPolicy.h
+++ b/currantreel/src/World/RoutingPolicy.h
@@ -1,6 +1,7 @@
 #ifndef CURRANTREEL_WORLD_ROUTINGPOLICY_H
 #define CURRANTREEL_WORLD_ROUTINGPOLICY_H
 
+#include "../Admission/AffinityChoice.h"
 #include "../Admission/FifoQueue.h"
 #include "../Admission/GrantQueue.h"
 #include "../Admission/LeastLoadedChoice.h"
@@ -26,7 +27,7 @@
 struct TieredPolicy
 {
     using Queue = TieredQueue;
-    using Choice = LeastLoadedChoice;
+    using Choice = AffinityChoice;
     static constexpr GrantPlace grantPlace = GrantPlace::Owner;
 };
 
--- a/currantreel/src/World/World.cpp
+++ b/currantreel/src/World/World.cpp
@@ -200,7 +200,7 @@
 template <RoutingPolicy Policy>
 void BasicWorld<Policy>::receive(HostId /*from*/, const LeaseReleased &message)
 {
-    m_owner.onReleased(message);
+    m_owner.onReleased(m_context, message);
 }
 
 template <RoutingPolicy Policy>
