Preempt lower-tier work when only that saves a higher tier's first token

Cause: a burst of the highest tier found every slot held by long lower-tier work. Change: when the next of the highest tier would miss its first-token target by waiting and no slot is free, the lease granted last of the lowest tier that runs, may be preempted and is strictly below is told to end; one at a time for a target, 200 ms apart if it is not released. The entry cancels and queues again what the caller has not begun to receive, once for each request; if it is refused after that, its outcome is unknown, because it may have run in part.

--- a/currantreel/src/Peer/Generated/PeerMessage_generated.h
+++ b/currantreel/src/Peer/Generated/PeerMessage_generated.h
@@ -27,6 +27,9 @@
 struct GrantShed;
 struct GrantShedBuilder;
 
+struct LeasePreempted;
+struct LeasePreemptedBuilder;
+
 struct GrantWithdrawn;
 struct GrantWithdrawnBuilder;
 
@@ -92,11 +95,12 @@
   SnapshotRequest = 14,
   SnapshotPart = 15,
   LeavingServers = 16,
+  LeasePreempted = 17,
   MIN = NONE,
-  MAX = LeavingServers
+  MAX = LeasePreempted
 };
 
-inline const Body (&EnumValuesBody())[17] {
+inline const Body (&EnumValuesBody())[18] {
   static const Body values[] = {
     Body::NONE,
     Body::Greeting,
@@ -114,13 +118,14 @@
     Body::PatchBatch,
     Body::SnapshotRequest,
     Body::SnapshotPart,
-    Body::LeavingServers
+    Body::LeavingServers,
+    Body::LeasePreempted
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[18] = {
+  static const char * const names[19] = {
     "NONE",
     "Greeting",
     "Proof",
@@ -138,13 +143,14 @@
     "SnapshotRequest",
     "SnapshotPart",
     "LeavingServers",
+    "LeasePreempted",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::LeavingServers)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::LeasePreempted)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -217,6 +223,10 @@
   static const Body enum_value = Body::LeavingServers;
 };
 
+template<> struct BodyTraits<currantreel::wire::LeasePreempted> {
+  static const Body enum_value = Body::LeasePreempted;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -632,6 +642,63 @@
   static auto constexpr Create = CreateGrantShed;
 };
 
+struct LeasePreempted FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LeasePreemptedBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_LEASE = 6
+  };
+  const currantreel::wire::GrantId *id() const {
+    return GetStruct<const currantreel::wire::GrantId *>(VT_ID);
+  }
+  uint64_t lease() const {
+    return GetField<uint64_t>(VT_LEASE, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<currantreel::wire::GrantId>(verifier, VT_ID, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LEASE, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct LeasePreemptedBuilder {
+  typedef LeasePreempted Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(const currantreel::wire::GrantId *id) {
+    fbb_.AddStruct(LeasePreempted::VT_ID, id);
+  }
+  void add_lease(uint64_t lease) {
+    fbb_.AddElement<uint64_t>(LeasePreempted::VT_LEASE, lease, 0);
+  }
+  explicit LeasePreemptedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LeasePreempted> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LeasePreempted>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LeasePreempted> CreateLeasePreempted(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const currantreel::wire::GrantId *id = nullptr,
+    uint64_t lease = 0) {
+  LeasePreemptedBuilder builder_(_fbb);
+  builder_.add_lease(lease);
+  builder_.add_id(id);
+  return builder_.Finish();
+}
+
+struct LeasePreempted::Traits {
+  using type = LeasePreempted;
+  static auto constexpr Create = CreateLeasePreempted;
+};
+
 struct GrantWithdrawn FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef GrantWithdrawnBuilder Builder;
   struct Traits;
@@ -1653,6 +1720,9 @@
   const currantreel::wire::LeavingServers *body_as_LeavingServers() const {
     return body_type() == currantreel::wire::Body::LeavingServers ? static_cast<const currantreel::wire::LeavingServers *>(body()) : nullptr;
   }
+  const currantreel::wire::LeasePreempted *body_as_LeasePreempted() const {
+    return body_type() == currantreel::wire::Body::LeasePreempted ? static_cast<const currantreel::wire::LeasePreempted *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
@@ -1728,6 +1798,10 @@
   return body_as_LeavingServers();
 }
 
+template<> inline const currantreel::wire::LeasePreempted *Frame::body_as<currantreel::wire::LeasePreempted>() const {
+  return body_as_LeasePreempted();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1843,6 +1917,10 @@
       auto ptr = reinterpret_cast<const currantreel::wire::LeavingServers *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::LeasePreempted: {
+      auto ptr = reinterpret_cast<const currantreel::wire::LeasePreempted *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/currantreel/src/Peer/PeerDecoder.cpp
+++ b/currantreel/src/Peer/PeerDecoder.cpp
@@ -108,6 +108,11 @@
                       reader.time(table.retry_after_us()) };
 }
 
+LeasePreempted decode(Reader &reader, const wire::LeasePreempted &table)
+{
+    return LeasePreempted{ reader.grantId(table.id()), LeaseId{ table.lease() } };
+}
+
 GrantWithdrawn decode(Reader &reader, const wire::GrantWithdrawn &table)
 {
     return GrantWithdrawn{ reader.grantId(table.id()) };
@@ -202,6 +207,8 @@
         return decodeAs<wire::Granted>(frame);
     case wire::Body::GrantShed:
         return decodeAs<wire::GrantShed>(frame);
+    case wire::Body::LeasePreempted:
+        return decodeAs<wire::LeasePreempted>(frame);
     case wire::Body::GrantWithdrawn:
         return decodeAs<wire::GrantWithdrawn>(frame);
     case wire::Body::LeaseReleased:
--- a/currantreel/src/Peer/PeerEncoder.cpp
+++ b/currantreel/src/Peer/PeerEncoder.cpp
@@ -44,6 +44,12 @@
                                         message.retryAfter.count()));
 }
 
+EncodedBody encode(Builder &builder, const LeasePreempted &message)
+{
+    const wire::GrantId id = toWire(message.id);
+    return bodyOf(wire::CreateLeasePreempted(builder, &id, message.lease.value));
+}
+
 EncodedBody encode(Builder &builder, const GrantWithdrawn &message)
 {
     const wire::GrantId id = toWire(message.id);
--- /dev/null
+++ b/currantreel/src/World/EntryPreemption.cpp
@@ -0,0 +1,25 @@
+#include "EntrySystem.h"
+
+namespace currantreel {
+
+void EntrySystem::onPreempted(StepContext &context, Counters &counters,
+                              const LeasePreempted &message)
+{
+    RequestRow *row = m_requests.find(message.id.request);
+    const AttemptRow *found = row ? m_attempts.find(row->attempt) : nullptr;
+    if (!found || found->lease != message.lease || found->grant != message.id)
+        return;
+    const RequestClass *requestClass = context.configuration->classes.find(row->requestClass);
+    const bool mayRepeat = requestClass && requestClass->repeat == RepeatRule::Idempotent;
+    // What the caller has begun to receive must come from one run.
+    if (!mayRepeat || !requestClass->isPreemptible || found->isRelayed)
+        return;
+    cancel(context, counters, *found);
+    row->state = State::Waiting;
+    row->attempt = AttemptId();
+    row->wasPreempted = true;
+    row->mayHaveRun = true;
+    askForGrant(context, *row, BackendServerId());
+}
+
+} // namespace currantreel
--- a/currantreel/src/World/EntrySystem.cpp
+++ b/currantreel/src/World/EntrySystem.cpp
@@ -180,7 +180,7 @@
         request.tier = requestClass->tier;
         request.queueBound = requestClass->queueBound - (context.now - row.arrivedAt);
         request.isWorthlessWhenLate = requestClass->late == LateRule::Worthless;
-        request.isPreemptible = requestClass->isPreemptible;
+        request.isPreemptible = requestClass->isPreemptible && !row.wasPreempted;
     }
     row.owner = ownerOf(context, row.target);
     row.askedAt = context.now;
--- a/currantreel/src/World/EntrySystem.h
+++ b/currantreel/src/World/EntrySystem.h
@@ -27,6 +27,9 @@
     /// @param owner host that sent the refusal.
     void onShed(StepContext &context, Counters &counters, KeySystem &keys, HostId owner,
                 const GrantShed &message);
+    /// Frees the slot of a preempted lease and queues the request again, if its class allows and the
+    /// caller has received nothing yet.
+    void onPreempted(StepContext &context, Counters &counters, const LeasePreempted &message);
     void onHead(StepContext &context, Counters &counters, KeySystem &keys,
                 const AttemptHead &event);
     void onTokens(StepContext &context, const AttemptTokens &event);
@@ -68,6 +71,7 @@
         bool isFirstTokenLate = false;
         bool hasCaller = true;
         bool mayHaveRun = false; ///< An earlier attempt ended with outcome unknown.
+        bool wasPreempted = false; ///< Is not preempted again.
     };
 
     struct AttemptRow
--- a/currantreel/src/World/OwnerSystem.cpp
+++ b/currantreel/src/World/OwnerSystem.cpp
@@ -13,6 +13,9 @@
 constexpr Duration shortestRetryAfter = std::chrono::milliseconds(100);
 constexpr Duration longestRetryAfter = std::chrono::minutes(1);
 
+/// Time after which a preempted lease that was not released is no longer waited for.
+constexpr Duration preemptionTimeout = std::chrono::milliseconds(200);
+
 std::vector<TargetId> targetsOf(const BackendServer &server)
 {
     if (server.kind == BackendKind::Service)
@@ -184,6 +187,9 @@
 void OwnerSystem<Policy>::endLease(const Lease &lease)
 {
     m_pool.release(lease.server, lease.tokens);
+    const auto state = m_states.find(lease.target);
+    if (state != m_states.end() && state->second.preempted == lease.id)
+        state->second.preempted = LeaseId();
 }
 
 template <RoutingPolicy Policy>
@@ -300,6 +306,29 @@
     context.send(request.id.entry, GrantShed{ request.id, code, retryAfter });
 }
 
+template <RoutingPolicy Policy>
+void OwnerSystem<Policy>::preempt(StepContext &context, TargetState &state, TargetId target)
+{
+    if constexpr (PeekableGrantQueue<Queue>) {
+        const bool isPending =
+            state.preempted.isValid() && context.now - state.preemptedAt < preemptionTimeout;
+        if (isPending || state.queue.size() == 0)
+            return;
+        const QueuedGrant *next = state.queue.next(context.now, false);
+        const TimePoint latestStart = next->firstTokenBy - next->firstTokenAfter;
+        const Duration wait = state.estimate.wait(0.0, m_pool.slots(target));
+        // Preempting is for a target that only it can save.
+        if (context.now + wait <= latestStart || context.now > latestStart)
+            return;
+        const std::optional<Lease> victim = m_leases.takeVictim(target, next->request.tier);
+        if (!victim)
+            return;
+        state.preempted = victim->id;
+        state.preemptedAt = context.now;
+        context.send(victim->grant.entry, LeasePreempted{ victim->grant, victim->id });
+    }
+}
+
 template <RoutingPolicy Policy>
 void OwnerSystem<Policy>::runTarget(StepContext &context, Counters &counters, TargetId target)
 {
@@ -312,6 +341,7 @@
         if (!grantNext(context, counters, state, target))
             break;
     }
+    preempt(context, state, target);
 }
 
 template <RoutingPolicy Policy>
--- a/currantreel/src/World/OwnerSystem.h
+++ b/currantreel/src/World/OwnerSystem.h
@@ -61,6 +61,8 @@
         Queue queue;
         WaitEstimate estimate;
         MovingAverage interToken;
+        LeaseId preempted; ///< Told to end and not yet released.
+        TimePoint preemptedAt;
     };
 
     TargetState &stateOf(const StepContext &context, TargetId target);
@@ -82,6 +84,7 @@
                                                              const GrantRequest &request) const;
     void grant(StepContext &context, Counters &counters, const QueuedGrant &grant,
                BackendServerId server);
+    void preempt(StepContext &context, TargetState &state, TargetId target);
     void endLease(const Lease &lease);
     void runTarget(StepContext &context, Counters &counters, TargetId target);
 
--- a/currantreel/src/World/PeerMessage.h
+++ b/currantreel/src/World/PeerMessage.h
@@ -10,7 +10,7 @@
 /// Everything that hosts say to each other, and that a host says to itself in another role.
 using PeerMessage = std::variant<GrantRequest, Granted, GrantShed, GrantWithdrawn, LeaseReleased,
                                  LeaseRenewal, ConfigurationAnnounce, PatchRequest, PatchBatch,
-                                 SnapshotRequest, SnapshotPart, LeavingServers>;
+                                 SnapshotRequest, SnapshotPart, LeavingServers, LeasePreempted>;
 
 } // namespace currantreel
 
--- a/currantreel/src/World/World.cpp
+++ b/currantreel/src/World/World.cpp
@@ -191,6 +191,12 @@
     m_entry.onShed(m_context, m_counters, m_keys, from, message);
 }
 
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::receive(HostId /*from*/, const LeasePreempted &message)
+{
+    m_entry.onPreempted(m_context, m_counters, message);
+}
+
 template <RoutingPolicy Policy>
 void BasicWorld<Policy>::receive(HostId /*from*/, const GrantWithdrawn &message)
 {
--- a/currantreel/src/World/World.h
+++ b/currantreel/src/World/World.h
@@ -64,6 +64,7 @@
     void receive(HostId from, const GrantRequest &message);
     void receive(HostId from, const Granted &message);
     void receive(HostId from, const GrantShed &message);
+    void receive(HostId from, const LeasePreempted &message);
     void receive(HostId from, const GrantWithdrawn &message);
     void receive(HostId from, const LeaseReleased &message);
     void receive(HostId from, const LeaseRenewal &message);
--- a/test/OwnerTest.cpp
+++ b/test/OwnerTest.cpp
@@ -245,6 +245,53 @@
     CHECK(granted(request).server != first.server);
 }
 
+TEST_CASE_FIXTURE(OwnerFixture, "running work is preempted only for a strictly higher tier in need")
+{
+    use(engines(1, 2));
+    warmUp(10);
+    granted(ask(1, "lookup"));
+    const Granted younger = granted(ask(2, "lookup"));
+    send(ask(3, "lookup"));
+    CHECK(messages<LeasePreempted>(effects).empty());
+    GrantRequest gate = ask(4);
+    gate.isWorthlessWhenLate = false;
+    gate.firstTokenIn = 300ms;
+    send(gate);
+    const auto preempted = messages<LeasePreempted>(effects);
+    REQUIRE(preempted.size() == 1);
+    CHECK(preempted[0].lease == younger.lease);
+    release(younger, LeaseEnd::Cancelled);
+    const auto grants = messages<Granted>(effects);
+    REQUIRE(grants.size() == 1);
+    CHECK(grants[0].id.request == RequestId{ 4 });
+}
+
+TEST_CASE_FIXTURE(OwnerFixture,
+                  "a gate question is never preempted and a preempted lookup runs again")
+{
+    use(engines(1, 1));
+    warmUp(10);
+    step(chat(1, "lookup"));
+    const auto lookup = only<StartAttempt>();
+    GrantRequest gate = ask(2);
+    gate.isWorthlessWhenLate = false;
+    send(gate);
+    CHECK(only<CancelAttempt>().attempt == lookup.attempt);
+    advance(20ms);
+    const auto grants = messages<Granted>(passed);
+    REQUIRE(grants.size() == 1);
+    gate.id.request = RequestId{ 3 };
+    send(gate);
+    CHECK(count<CancelAttempt>() == 0);
+    CHECK(messages<LeasePreempted>(effects).empty());
+    send(GrantWithdrawn{ gate.id });
+    release(grants[0]);
+    CHECK(only<StartAttempt>().request == RequestId{ 1 });
+    // Once preempted, it runs to its end.
+    send(gate);
+    CHECK(count<CancelAttempt>() == 0);
+}
+
 TEST_CASE("limits follow the engine: down when it is congested, up to what is published")
 {
     SlotLimit limit;
--- a/test/PeerCodecTest.cpp
+++ b/test/PeerCodecTest.cpp
@@ -45,6 +45,7 @@
         SnapshotRequest{ 11, 12 },
         SnapshotPart{ 13, 30, 14, "part" },
         LeavingServers{ { BackendServerId{ 15 }, BackendServerId{ 16 } } },
+        LeasePreempted{ id, LeaseId{ 5 } },
     };
 }
 
