Retry within a budget, after a backoff; end worthless work

Cause: every failure was retried at once, up to three attempts a request, which triples the load just when all servers fail. Answers of a class that calls late ones worthless ran on past their target. Change: module Retry. Each class earns retries from its requests (retry_permille, 80 if not stated) on top of a reserve of 10; a retry waits an exponential time from 50 ms to 2 s with seeded jitter in a state of its own. Waiting and running work past a worthless deadline ends with answer_late and is cancelled at the engine, its tokens counted as late; a run under a key goes on. The test of a refused connection now lets the backoff pass before it looks for the second attempt, and first checks that none is made at once.

--- a/currantreel/src/Configuration/Configuration.h
+++ b/currantreel/src/Configuration/Configuration.h
@@ -17,6 +17,9 @@
 /// Number of tiers, 0 to tierCount - 1.
 inline constexpr Tier tierCount = 5;
 
+/// Retries per 1000 requests of a class that states none.
+inline constexpr std::uint32_t defaultRetryPermille = 80;
+
 /// Whether a request of a class may be run more than once.
 enum class RepeatRule : std::uint8_t { Idempotent, Never };
 
@@ -42,6 +45,7 @@
     LateRule late = LateRule::Useful;
     bool isPreemptible = false; ///< Running work may be cancelled for a higher tier and run again.
     Duration queueBound{}; ///< Longest wait of an admitted request for its grant.
+    std::uint32_t retryPermille = defaultRetryPermille; ///< Retries per 1000 requests.
 };
 
 /// Workspace: a customer with a share of the capacity.
--- a/currantreel/src/Configuration/ConfigurationRows.cpp
+++ b/currantreel/src/Configuration/ConfigurationRows.cpp
@@ -51,6 +51,8 @@
     row.isPreemptible = source.boolean("preemptible", false);
     row.queueBound =
         source.milliseconds("queue_bound_ms", targetMilliseconds, defaultQueueBoundMilliseconds);
+    row.retryPermille = static_cast<std::uint32_t>(
+        source.integer("retry_permille", permilleRange, defaultRetryPermille));
     if (row.isPreemptible && row.repeat == RepeatRule::Never)
         source.fault(ResultCode::SettingsOutOfRange, "preemptible",
                      "a class that may not be repeated cannot be preempted");
--- a/currantreel/src/Configuration/ConfigurationWriter.cpp
+++ b/currantreel/src/Configuration/ConfigurationWriter.cpp
@@ -50,8 +50,8 @@
                    row.repeat == RepeatRule::Never ? "never" : "idempotent",
                    row.keys == KeyRule::Required ? "required" : "optional",
                    row.late == LateRule::Worthless ? "worthless" : "useful");
-    fmt::format_to(out, "preemptible = {}\nqueue_bound_ms = {}\n", row.isPreemptible,
-                   toMilliseconds(row.queueBound));
+    fmt::format_to(out, "preemptible = {}\nqueue_bound_ms = {}\nretry_permille = {}\n",
+                   row.isPreemptible, toMilliseconds(row.queueBound), row.retryPermille);
 }
 
 void write(const Workspace &row, const Configuration &configuration, Output out)
--- /dev/null
+++ b/currantreel/src/Retry/TokenBudget.h
@@ -0,0 +1,43 @@
+#ifndef CURRANTREEL_RETRY_TOKENBUDGET_H
+#define CURRANTREEL_RETRY_TOKENBUDGET_H
+
+#include <algorithm>
+#include <cstdint>
+
+namespace currantreel {
+
+/// Token bucket that is filled by useful work and emptied by repeated work, so that the second stays a
+/// fixed share of the first however much fails.
+class TokenBudget
+{
+public:
+    /// @param reserve units that may be spent before any useful work, and most units kept.
+    explicit TokenBudget(std::uint32_t reserve)
+        : m_capacity(reserve * unit), m_level(m_capacity) { }
+
+    /// Earns a share of @p amount units of useful work.
+    /// @param sharePermille repeated work per useful work, in thousandths.
+    void earn(std::uint64_t amount, std::uint32_t sharePermille)
+    {
+        m_level = std::min(m_capacity, m_level + amount * sharePermille);
+    }
+
+    /// Spends @p amount units. False, and nothing spent, if fewer are left.
+    [[nodiscard]] bool spend(std::uint64_t amount)
+    {
+        if (m_level < amount * unit)
+            return false;
+        m_level -= amount * unit;
+        return true;
+    }
+
+private:
+    static constexpr std::uint64_t unit = 1000;
+
+    std::uint64_t m_capacity;
+    std::uint64_t m_level;
+};
+
+} // namespace currantreel
+
+#endif
--- a/currantreel/src/World/EntryAttempts.cpp
+++ b/currantreel/src/World/EntryAttempts.cpp
@@ -111,14 +111,15 @@
     const bool isWanted = row->hasCaller || keys.hasJoined(row->key);
     const bool mayRetry =
         isHarmless && !attempt.isRelayed && isWanted && row->attempts < timing::attemptLimit;
-    if (!mayRetry) {
+    if (!mayRetry || !retryBudgetOf(row->requestClass).spend(1)) {
         refuse(context, counters, keys, *row, code, outcome, timing::shedRetryAfter);
         return;
     }
     ++counters.retries;
-    row->state = State::Waiting;
+    row->state = State::BackingOff;
     row->attempt = AttemptId();
-    askForGrant(context, *row, attempt.server);
+    row->avoid = attempt.server;
+    row->retryAt = context.now + m_backoff.next(row->attempts);
 }
 
 Outcome EntrySystem::outcomeOf(const RequestRow &row, Outcome outcome)
@@ -170,6 +171,49 @@
     }
 }
 
+TokenBudget &EntrySystem::retryBudgetOf(ClassId id)
+{
+    if (RetryRow *row = m_retries.find(id))
+        return row->budget;
+    return m_retries.insert(RetryRow{ id, TokenBudget(timing::retryReserve) }).budget;
+}
+
+void EntrySystem::resumeRetries(StepContext &context)
+{
+    for (RequestRow &row : m_requests) {
+        if (row.state != State::BackingOff || row.retryAt > context.now)
+            continue;
+        row.state = State::Waiting;
+        askForGrant(context, row, row.avoid);
+    }
+}
+
+void EntrySystem::endWorthless(StepContext &context, Counters &counters, KeySystem &keys)
+{
+    std::vector<RequestId> worthless;
+    for (const RequestRow &row : m_requests) {
+        // A run under a key goes on: its caller needs to know how it ended.
+        const bool isKeyedRun = row.state == State::Running && row.key.isValid();
+        if (row.state <= State::Running && !isKeyedRun && isWorthless(context, row))
+            worthless.push_back(row.id);
+    }
+    for (const RequestId id : worthless)
+        endWorthless(context, counters, keys, *m_requests.find(id));
+}
+
+void EntrySystem::endWorthless(StepContext &context, Counters &counters, KeySystem &keys,
+                               const RequestRow &row)
+{
+    if (row.state == State::Waiting)
+        withdraw(context, row);
+    Outcome outcome = Outcome::NotRun;
+    if (const AttemptRow *running = m_attempts.find(row.attempt)) {
+        outcome = Outcome::Unknown;
+        cancel(context, counters.lateTokens, *running);
+    }
+    refuse(context, counters, keys, row, ResultCode::AnswerLate, outcome, {});
+}
+
 void EntrySystem::renewLeases(StepContext &context)
 {
     if (context.now - m_renewedAt < timing::leaseRenewalInterval)
@@ -188,6 +232,8 @@
 void EntrySystem::run(StepContext &context, Counters &counters, KeySystem &keys)
 {
     endStalledAttempts(context, counters, keys);
+    endWorthless(context, counters, keys);
+    resumeRetries(context);
     askAgain(context);
     renewLeases(context);
 }
--- a/currantreel/src/World/EntrySystem.cpp
+++ b/currantreel/src/World/EntrySystem.cpp
@@ -18,7 +18,10 @@
 
 } // namespace
 
-EntrySystem::EntrySystem(Incarnation incarnation) : m_nextAttempt(incarnation.value + 1) { }
+EntrySystem::EntrySystem(Incarnation incarnation)
+    : m_nextAttempt(incarnation.value + 1), m_backoff(incarnation.value)
+{
+}
 
 ClassCounters &EntrySystem::countersOf(Counters &counters, ClassId id)
 {
@@ -142,6 +145,8 @@
         return;
     }
     ++countersOf(counters, row.requestClass).arrived;
+    const RequestClass &requestClass = *context.configuration->classes.find(row.requestClass);
+    retryBudgetOf(row.requestClass).earn(1, requestClass.retryPermille);
     askForGrant(context, m_requests.insert(row), BackendServerId());
 }
 
@@ -306,14 +311,15 @@
     if (row.state != State::Running)
         finishKey(context, keys, row.key, row.id, outcomeOf(row, Outcome::NotRun));
     if (const AttemptRow *running = m_attempts.find(row.attempt))
-        cancel(context, counters, *running);
+        cancel(context, counters.cancelledTokens, *running);
 }
 
-void EntrySystem::cancel(StepContext &context, Counters &counters, const AttemptRow &running)
+void EntrySystem::cancel(StepContext &context, std::uint64_t &wastedTokens,
+                         const AttemptRow &running)
 {
     const AttemptRow attempt = running;
     context.emit(CancelAttempt{ attempt.id });
-    counters.cancelledTokens += attempt.tokens;
+    wastedTokens += attempt.tokens;
     release(context, attempt, LeaseEnd::Cancelled);
     m_attempts.remove(attempt.id);
 }
--- a/currantreel/src/World/EntrySystem.h
+++ b/currantreel/src/World/EntrySystem.h
@@ -1,6 +1,8 @@
 #ifndef CURRANTREEL_WORLD_ENTRYSYSTEM_H
 #define CURRANTREEL_WORLD_ENTRYSYSTEM_H
 
+#include "../Retry/Backoff.h"
+#include "../Retry/TokenBudget.h"
 #include "Counters.h"
 #include "Event.h"
 #include "KeySystem.h"
@@ -39,14 +41,21 @@
     /// Asks another owner for what waits at @p host.
     void onHostLost(StepContext &context, HostId host);
 
-    /// Renews leases, asks again where an owner was silent, and ends attempts that make no progress.
+    /// Resumes retries, renews leases, asks again where an owner was silent, ends what became
+    /// worthless, and ends attempts that make no progress.
     void run(StepContext &context, Counters &counters, KeySystem &keys);
 
     /// Requests in progress.
     [[nodiscard]] std::size_t size() const { return m_requests.size(); }
 
 private:
-    enum class State : std::uint8_t { Waiting, Running, Forwarded, Joined };
+    enum class State : std::uint8_t {
+        Waiting, ///< For a grant.
+        BackingOff, ///< For the time of a retry.
+        Running,
+        Forwarded,
+        Joined, ///< Waits for the run of another request under the same key.
+    };
 
     struct RequestRow
     {
@@ -65,11 +74,20 @@
         TimePoint askedAt; ///< When it was asked.
         AttemptId attempt; ///< The running attempt.
         int attempts = 0;
+        TimePoint retryAt;
+        BackendServerId avoid; ///< Server that failed the last attempt.
         bool isFirstTokenLate = false;
         bool hasCaller = true;
         bool mayHaveRun = false; ///< An earlier attempt ended with outcome unknown.
     };
 
+    /// Retries of one class.
+    struct RetryRow
+    {
+        ClassId id;
+        TokenBudget budget;
+    };
+
     struct AttemptRow
     {
         AttemptId id;
@@ -108,7 +126,13 @@
     void withdraw(StepContext &context, const RequestRow &row);
     void finishKey(StepContext &context, KeySystem &keys, KeyId key, RequestId runner,
                    Outcome outcome);
-    void cancel(StepContext &context, Counters &counters, const AttemptRow &running);
+    /// Cancels an attempt and adds its tokens to the count of waste @p wastedTokens.
+    void cancel(StepContext &context, std::uint64_t &wastedTokens, const AttemptRow &running);
+    TokenBudget &retryBudgetOf(ClassId id);
+    void resumeRetries(StepContext &context);
+    void endWorthless(StepContext &context, Counters &counters, KeySystem &keys);
+    void endWorthless(StepContext &context, Counters &counters, KeySystem &keys,
+                      const RequestRow &row);
     void release(StepContext &context, const AttemptRow &attempt, LeaseEnd end);
     void retryOrRefuse(StepContext &context, Counters &counters, KeySystem &keys,
                        const AttemptRow &attempt, ResultCode code, Outcome outcome);
@@ -123,6 +147,8 @@
     Table<RequestRow> m_requests;
     Table<AttemptRow> m_attempts;
     std::uint64_t m_nextAttempt;
+    Table<RetryRow> m_retries;
+    Backoff m_backoff;
     TimePoint m_renewedAt;
 };
 
--- a/test/WorldTest.cpp
+++ b/test/WorldTest.cpp
@@ -1,5 +1,7 @@
 #include "WorldFixture.h"
 
+#include <currantreel/Retry>
+
 using namespace test;
 
 TEST_CASE_FIXTURE(WorldFixture, "a request is granted, relayed and finished")
@@ -51,6 +53,9 @@
     CHECK(count<KeyAssigned>() == 1);
     const auto first = only<StartAttempt>();
     step(AttemptFailed{ first.attempt, false });
+    CHECK(count<StartAttempt>() == 0);
+    advance(Backoff::longest);
+    effects = passed;
     const auto second = only<StartAttempt>();
     CHECK(second.attempt != first.attempt);
     step(AttemptFailed{ second.attempt, true });
