Hedging: a second attempt beside a slow one, within 2% of the tokens

Cause: one slow head makes a request late although another server is free. Change: an idempotent request without a key, of a class that is not preemptible, gets one second attempt on another server once it has waited beyond the class's learned 95th percentile of time to the head. The second attempt queues in the lowest tier for at most 100 ms. It is paid from a budget of 2% of the tokens answered, at the class's mean answer length. The first head wins, the other attempt is cancelled, its tokens counted as duplicated. If one fails, the other goes on.

--- a/currantreel/src/Retry/TokenBudget.h
+++ b/currantreel/src/Retry/TokenBudget.h
@@ -11,9 +11,12 @@
 class TokenBudget
 {
 public:
-    /// @param reserve units that may be spent before any useful work, and most units kept.
-    explicit TokenBudget(std::uint32_t reserve)
-        : m_capacity(reserve * unit), m_level(m_capacity) { }
+    /// @param capacity most units kept.
+    /// @param initial units that may be spent before any useful work.
+    TokenBudget(std::uint32_t capacity, std::uint32_t initial)
+        : m_capacity(capacity * unit), m_level(initial * unit)
+    {
+    }
 
     /// Earns a share of @p amount units of useful work.
     /// @param sharePermille repeated work per useful work, in thousandths.
--- a/currantreel/src/Shell/OperatorFront.cpp
+++ b/currantreel/src/Shell/OperatorFront.cpp
@@ -97,6 +97,8 @@
     line("currantreel_attempts_total", counters.attempts);
     line("currantreel_grants_total", counters.grants);
     line("currantreel_retries_total", counters.retries);
+    line("currantreel_hedges_total", counters.hedges);
+    line("currantreel_duplicated_tokens_total", counters.duplicatedTokens);
     line("currantreel_useful_tokens_total", counters.usefulTokens);
     line("currantreel_late_tokens_total", counters.lateTokens);
     line("currantreel_cancelled_tokens_total", counters.cancelledTokens);
--- a/currantreel/src/World/Counters.h
+++ b/currantreel/src/World/Counters.h
@@ -25,7 +25,9 @@
     std::uint64_t attempts = 0;
     std::uint64_t grants = 0;
     std::uint64_t retries = 0;
+    std::uint64_t hedges = 0; ///< Second attempts beside a slow one.
     std::uint64_t cancelledTokens = 0; ///< Tokens of attempts cancelled or lost.
+    std::uint64_t duplicatedTokens = 0; ///< Tokens of the slower of two attempts.
     std::uint64_t lateTokens = 0; ///< Tokens of answers after their target.
     std::uint64_t usefulTokens = 0; ///< Tokens of answers in time.
     std::array<std::uint64_t, tierCount> shed{};
--- a/currantreel/src/World/EntryAttempts.cpp
+++ b/currantreel/src/World/EntryAttempts.cpp
@@ -23,7 +23,7 @@
                       Outcome::NotRun);
         return;
     }
-    const RequestRow *row = m_requests.find(attempt->request);
+    RequestRow *row = m_requests.find(attempt->request);
     const RequestClass *requestClass =
         row ? context.configuration->classes.find(row->requestClass) : nullptr;
     const bool mayRepeat = requestClass && requestClass->repeat == RepeatRule::Idempotent;
@@ -34,7 +34,12 @@
         return;
     }
     attempt->isRelayed = true;
-    context.emit(RelayAttempt{ attempt->request, attempt->id });
+    const RequestId request = attempt->request;
+    if (row) {
+        hedgePolicyOf(row->requestClass).addHead(context.now - attempt->startedAt);
+        cancelLosers(context, counters, *row, event.attempt);
+    }
+    context.emit(RelayAttempt{ request, event.attempt });
 }
 
 void EntrySystem::onTokens(StepContext &context, const AttemptTokens &event)
@@ -71,9 +76,11 @@
     const AttemptRow attempt = *ended;
     release(context, attempt, LeaseEnd::Completed);
     m_attempts.remove(attempt.id);
-    const RequestRow *found = m_requests.find(attempt.request);
+    RequestRow *found = m_requests.find(attempt.request);
     if (!found)
         return;
+    hedgePolicyOf(found->requestClass).addAnswer(attempt.tokens);
+    cancelLosers(context, counters, *found, attempt.id);
     const RequestRow row = *found;
     m_requests.remove(row.id);
     countEnd(counters, row, attempt, context.now);
@@ -105,6 +112,8 @@
     if (!row)
         return;
     row->mayHaveRun = row->mayHaveRun || outcome == Outcome::Unknown;
+    if (fallBack(*row, attempt.id))
+        return;
     const RequestClass *requestClass = context.configuration->classes.find(row->requestClass);
     const bool mayRepeat = requestClass && requestClass->repeat == RepeatRule::Idempotent;
     const bool isHarmless = outcome == Outcome::NotRun || mayRepeat;
@@ -175,7 +184,8 @@
 {
     if (RetryRow *row = m_retries.find(id))
         return row->budget;
-    return m_retries.insert(RetryRow{ id, TokenBudget(timing::retryReserve) }).budget;
+    return m_retries.insert(RetryRow{ id, TokenBudget(timing::retryReserve, timing::retryReserve) })
+        .budget;
 }
 
 void EntrySystem::resumeRetries(StepContext &context)
@@ -204,12 +214,12 @@
 void EntrySystem::endWorthless(StepContext &context, Counters &counters, KeySystem &keys,
                                const RequestRow &row)
 {
-    if (row.state == State::Waiting)
+    if (row.state == State::Waiting || row.isHedgeAsked)
         withdraw(context, row);
     Outcome outcome = Outcome::NotRun;
-    if (const AttemptRow *running = m_attempts.find(row.attempt)) {
+    if (row.state == State::Running) {
         outcome = Outcome::Unknown;
-        cancel(context, counters.lateTokens, *running);
+        cancelAll(context, counters.lateTokens, row);
     }
     refuse(context, counters, keys, row, ResultCode::AnswerLate, outcome, {});
 }
@@ -234,6 +244,7 @@
     endStalledAttempts(context, counters, keys);
     endWorthless(context, counters, keys);
     resumeRetries(context);
+    askForHedges(context);
     askAgain(context);
     renewLeases(context);
 }
--- a/currantreel/src/World/EntrySystem.cpp
+++ b/currantreel/src/World/EntrySystem.cpp
@@ -187,6 +187,12 @@
         request.isWorthlessWhenLate = requestClass->late == LateRule::Worthless;
         request.isPreemptible = requestClass->isPreemptible;
     }
+    if (row.isHedgeAsked) {
+        // A second attempt takes only a slot that nobody waits for.
+        request.tier = tierCount - 1;
+        request.queueBound = timing::hedgeQueueBound;
+        request.isPreemptible = false;
+    }
     row.owner = ownerOf(context, row.target);
     row.askedAt = context.now;
     context.send(row.owner, request);
@@ -216,6 +222,10 @@
 {
     RequestRow *row = m_requests.find(message.id.request);
     const BackendServer *server = context.configuration->backendServers.find(message.server);
+    if (row && row->state == State::Running && row->isHedgeAsked && row->owner == owner) {
+        onHedgeGranted(context, counters, *row, message);
+        return;
+    }
     const bool isAwaited = row && row->state == State::Waiting && row->owner == owner;
     if (isAwaited && server && !isStale(context, *row, message) && !isWorthless(context, *row)) {
         startAttempt(context, counters, *row, *server, message);
@@ -258,8 +268,11 @@
 void EntrySystem::onShed(StepContext &context, Counters &counters, KeySystem &keys, HostId owner,
                          const GrantShed &message)
 {
-    const RequestRow *row = m_requests.find(message.id.request);
-    if (row && row->state == State::Waiting && row->owner == owner)
+    RequestRow *row = m_requests.find(message.id.request);
+    if (!row || row->owner != owner)
+        return;
+    row->isHedgeAsked = false;
+    if (row->state == State::Waiting)
         refuse(context, counters, keys, *row, message.code, Outcome::NotRun, message.retryAfter);
 }
 
@@ -306,12 +319,11 @@
     if (row.state == State::Joined || row.state == State::Forwarded)
         return;
     ++countersOf(counters, row.requestClass).abandoned;
-    if (row.state == State::Waiting)
+    if (row.state == State::Waiting || row.isHedgeAsked)
         withdraw(context, row);
     if (row.state != State::Running)
         finishKey(context, keys, row.key, row.id, outcomeOf(row, Outcome::NotRun));
-    if (const AttemptRow *running = m_attempts.find(row.attempt))
-        cancel(context, counters.cancelledTokens, *running);
+    cancelAll(context, counters.cancelledTokens, row);
 }
 
 void EntrySystem::cancel(StepContext &context, std::uint64_t &wastedTokens,
--- a/currantreel/src/World/EntrySystem.h
+++ b/currantreel/src/World/EntrySystem.h
@@ -2,6 +2,7 @@
 #define CURRANTREEL_WORLD_ENTRYSYSTEM_H
 
 #include "../Retry/Backoff.h"
+#include "../Retry/HedgePolicy.h"
 #include "../Retry/TokenBudget.h"
 #include "Counters.h"
 #include "Event.h"
@@ -78,6 +79,9 @@
         BackendServerId avoid; ///< Server that failed the last attempt.
         bool isFirstTokenLate = false;
         bool hasCaller = true;
+        AttemptId hedge; ///< The second attempt beside the running one.
+        bool isHedgeAsked = false; ///< A grant for the second attempt is awaited.
+        bool isHedged = false; ///< Had its second attempt, or its chance of one.
         bool mayHaveRun = false; ///< An earlier attempt ended with outcome unknown.
     };
 
@@ -133,6 +137,17 @@
     void endWorthless(StepContext &context, Counters &counters, KeySystem &keys);
     void endWorthless(StepContext &context, Counters &counters, KeySystem &keys,
                       const RequestRow &row);
+    HedgePolicy &hedgePolicyOf(ClassId id);
+    void askForHedges(StepContext &context);
+    [[nodiscard]] bool mayHedge(const StepContext &context, const RequestRow &row) const;
+    /// Starts the second attempt, or gives the grant back.
+    void onHedgeGranted(StepContext &context, Counters &counters, RequestRow &row,
+                        const Granted &message);
+    /// Ends the other attempts of the request of @p winner.
+    void cancelLosers(StepContext &context, Counters &counters, RequestRow &row, AttemptId winner);
+    /// True if another attempt of the request goes on after @p failed.
+    static bool fallBack(RequestRow &row, AttemptId failed);
+    void cancelAll(StepContext &context, std::uint64_t &wastedTokens, const RequestRow &row);
     void release(StepContext &context, const AttemptRow &attempt, LeaseEnd end);
     void retryOrRefuse(StepContext &context, Counters &counters, KeySystem &keys,
                        const AttemptRow &attempt, ResultCode code, Outcome outcome);
@@ -148,6 +163,7 @@
     Table<AttemptRow> m_attempts;
     std::uint64_t m_nextAttempt;
     Table<RetryRow> m_retries;
+    Table<HedgePolicy> m_hedges;
     Backoff m_backoff;
     TimePoint m_renewedAt;
 };
--- a/currantreel/src/World/Timing.h
+++ b/currantreel/src/World/Timing.h
@@ -31,6 +31,8 @@
 inline constexpr std::size_t queueCapacity = 10'000;
 /// Most idempotency keys in use at one host.
 inline constexpr std::size_t keyCapacity = 100'000;
+/// Longest wait of a second attempt for its grant.
+inline constexpr Duration hedgeQueueBound = 100ms;
 /// Retries of a class that may be made before it has had requests, and most saved up.
 inline constexpr std::uint32_t retryReserve = 10;
 /// Most attempts of one request.
--- a/test/RetryTest.cpp
+++ b/test/RetryTest.cpp
@@ -67,7 +67,7 @@
 
 TEST_CASE("a budget spends its reserve, then only what was earned")
 {
-    TokenBudget budget(2);
+    TokenBudget budget(2, 2);
     CHECK(budget.spend(2));
     CHECK_FALSE(budget.spend(1));
     budget.earn(9, 100);
