--- a/currantreel/src/World/EntryAttempts.cpp
+++ b/currantreel/src/World/EntryAttempts.cpp
@@ -23,7 +23,7 @@
                       Outcome::NotRun);
         return;
     }
-    const RequestRow *row = m_requests.find(attempt->request);
+    RequestRow *row = m_requests.find(attempt->request);
     const RequestClass *requestClass =
         row ? context.configuration->classes.find(row->requestClass) : nullptr;
     const bool mayRepeat = requestClass && requestClass->repeat == RepeatRule::Idempotent;
@@ -34,7 +34,12 @@
         return;
     }
     attempt->isRelayed = true;
-    context.emit(RelayAttempt{ attempt->request, attempt->id });
+    const RequestId request = attempt->request;
+    if (row) {
+        hedgePolicyOf(row->requestClass).addHead(context.now - attempt->startedAt);
+        cancelLosers(context, counters, *row, event.attempt);
+    }
+    context.emit(RelayAttempt{ request, event.attempt });
 }
 
 void EntrySystem::onTokens(StepContext &context, const AttemptTokens &event)
@@ -71,9 +76,11 @@
     const AttemptRow attempt = *ended;
     release(context, attempt, LeaseEnd::Completed);
     m_attempts.remove(attempt.id);
-    const RequestRow *found = m_requests.find(attempt.request);
+    RequestRow *found = m_requests.find(attempt.request);
     if (!found)
         return;
+    hedgePolicyOf(found->requestClass).addAnswer(attempt.tokens);
+    cancelLosers(context, counters, *found, attempt.id);
     const RequestRow row = *found;
     m_requests.remove(row.id);
     countEnd(counters, row, attempt, context.now);
@@ -105,20 +112,23 @@
     if (!row)
         return;
     row->mayHaveRun = row->mayHaveRun || outcome == Outcome::Unknown;
+    if (fallBack(*row, attempt.id))
+        return;
     const RequestClass *requestClass = context.configuration->classes.find(row->requestClass);
     const bool mayRepeat = requestClass && requestClass->repeat == RepeatRule::Idempotent;
     const bool isHarmless = outcome == Outcome::NotRun || mayRepeat;
     const bool isWanted = row->hasCaller || keys.hasJoined(row->key);
     const bool mayRetry =
         isHarmless && !attempt.isRelayed && isWanted && row->attempts < timing::attemptLimit;
-    if (!mayRetry) {
+    if (!mayRetry || !retryBudgetOf(row->requestClass).spend(1)) {
         refuse(context, counters, keys, *row, code, outcome, timing::shedRetryAfter);
         return;
     }
     ++counters.retries;
-    row->state = State::Waiting;
+    row->state = State::BackingOff;
     row->attempt = AttemptId();
-    askForGrant(context, *row, attempt.server);
+    row->avoid = attempt.server;
+    row->retryAt = context.now + m_backoff.next(row->attempts);
 }
 
 Outcome EntrySystem::outcomeOf(const RequestRow &row, Outcome outcome)
@@ -170,6 +180,50 @@
     }
 }
 
+TokenBudget &EntrySystem::retryBudgetOf(ClassId id)
+{
+    if (RetryRow *row = m_retries.find(id))
+        return row->budget;
+    return m_retries.insert(RetryRow{ id, TokenBudget(timing::retryReserve, timing::retryReserve) })
+        .budget;
+}
+
+void EntrySystem::resumeRetries(StepContext &context)
+{
+    for (RequestRow &row : m_requests) {
+        if (row.state != State::BackingOff || row.retryAt > context.now)
+            continue;
+        row.state = State::Waiting;
+        askForGrant(context, row, row.avoid);
+    }
+}
+
+void EntrySystem::endWorthless(StepContext &context, Counters &counters, KeySystem &keys)
+{
+    std::vector<RequestId> worthless;
+    for (const RequestRow &row : m_requests) {
+        // A run under a key goes on: its caller needs to know how it ended.
+        const bool isKeyedRun = row.state == State::Running && row.key.isValid();
+        if (row.state <= State::Running && !isKeyedRun && isWorthless(context, row))
+            worthless.push_back(row.id);
+    }
+    for (const RequestId id : worthless)
+        endWorthless(context, counters, keys, *m_requests.find(id));
+}
+
+void EntrySystem::endWorthless(StepContext &context, Counters &counters, KeySystem &keys,
+                               const RequestRow &row)
+{
+    if (row.state == State::Waiting || row.isHedgeAsked)
+        withdraw(context, row);
+    Outcome outcome = Outcome::NotRun;
+    if (row.state == State::Running) {
+        outcome = Outcome::Unknown;
+        cancelAll(context, counters.lateTokens, row);
+    }
+    refuse(context, counters, keys, row, ResultCode::AnswerLate, outcome, {});
+}
+
 void EntrySystem::renewLeases(StepContext &context)
 {
     if (context.now - m_renewedAt < timing::leaseRenewalInterval)
@@ -188,6 +242,9 @@
 void EntrySystem::run(StepContext &context, Counters &counters, KeySystem &keys)
 {
     endStalledAttempts(context, counters, keys);
+    endWorthless(context, counters, keys);
+    resumeRetries(context);
+    askForHedges(context);
     askAgain(context);
     renewLeases(context);
 }
