Commands for patches: propose, check, submit, show, diff, wait, audit

Cause: operators had no way to learn a verdict before publishing, to publish a patch, or to see it in force on all hosts.

The demo publishes an accepted, a rejected and a rebased patch.

Conclusion: a patch goes from proposal to proof of being in force by commands.

--- a/apps/ToolCommands.cpp
+++ b/apps/ToolCommands.cpp
@@ -1,16 +1,15 @@
 #include "ToolCommands.h"
 
+#include "ToolConfig.h"
 #include "ToolHttp.h"
 #include "ToolReplay.h"
+#include "ToolReport.h"
+#include <algorithm>
 #include <currantreel/Configuration>
 #include <currantreel/Core>
 #include <currantreel/Settings>
-#include <filesystem>
 #include <fmt/format.h>
-#include <fstream>
-#include <iterator>
 #include <nlohmann/json.hpp>
-#include <sstream>
 
 namespace currantreel::tool {
 
@@ -21,20 +20,6 @@
 
 constexpr Duration hostTimeout = 2s;
 
-int usageError(const std::string &detail)
-{
-    fmt::print(stderr, "{} ({} {}: {})\n", detail, number(ResultCode::ToolUsage),
-               info(ResultCode::ToolUsage).name, info(ResultCode::ToolUsage).remedy);
-    return exitUsage;
-}
-
-int printFaults(const FaultList &faults)
-{
-    for (const Fault &fault : faults)
-        fmt::print(stderr, "{}\n", toText(fault));
-    return exitUsage;
-}
-
 int checkSettings(const Arguments &arguments)
 {
     if (arguments.size() != 2)
@@ -46,62 +31,6 @@
     return exitOk;
 }
 
-/// Reads and checks a configuration document. @param text receives the document.
-std::variant<Configuration, FaultList> loadConfiguration(const std::string &path, std::string &text)
-{
-    std::ifstream stream(path, std::ios::binary);
-    if (!stream)
-        return FaultList{ Fault{ ResultCode::SettingsUnreadable, path, 0, "(document)",
-                                 "the file cannot be read" } };
-    std::ostringstream content;
-    content << stream.rdbuf();
-    text = content.str();
-    return parseConfiguration(text, path);
-}
-
-int configCheck(const Arguments &arguments)
-{
-    if (arguments.size() != 3)
-        return usageError("config check takes one file");
-    std::string text;
-    const auto loaded = loadConfiguration(arguments[2], text);
-    if (const auto *faults = std::get_if<FaultList>(&loaded))
-        return printFaults(*faults);
-    fmt::print("{}: all right, digest {}\n", arguments[2], digestOf(text));
-    return exitOk;
-}
-
-int configInit(const Arguments &arguments)
-{
-    if (arguments.size() != 4)
-        return usageError("config init takes a directory and a file");
-    std::string text;
-    const auto loaded = loadConfiguration(arguments[3], text);
-    if (const auto *faults = std::get_if<FaultList>(&loaded))
-        return printFaults(*faults);
-    const std::filesystem::path values = std::filesystem::path(arguments[2]) / "values";
-    if (std::filesystem::exists(values / "head"))
-        return usageError("the directory has a configuration already");
-    std::error_code failure;
-    std::filesystem::create_directories(values / "snapshot" / "1", failure);
-    std::ofstream(values / "snapshot" / "1" / "0", std::ios::binary) << text;
-    std::ofstream head(values / "head", std::ios::binary);
-    head << nlohmann::json{ { "version", 1 }, { "digest", digestOf(text) } }.dump() << '\n';
-    if (failure || !head)
-        return usageError("the directory cannot be written");
-    fmt::print("version 1, digest {}\n", digestOf(text));
-    return exitOk;
-}
-
-int config(const Arguments &arguments)
-{
-    if (arguments.size() > 1 && arguments[1] == "check")
-        return configCheck(arguments);
-    if (arguments.size() > 1 && arguments[1] == "init")
-        return configInit(arguments);
-    return usageError("config takes one of: check, init");
-}
-
 void printStatus(const nlohmann::json &status)
 {
     fmt::print("{:<16} {:<12} {:<9} version {:<6} in progress {:<5} queued {}\n",
--- /dev/null
+++ b/apps/ToolConfig.h
@@ -0,0 +1,14 @@
+#ifndef CURRANTREEL_APPS_TOOLCONFIG_H
+#define CURRANTREEL_APPS_TOOLCONFIG_H
+
+#include <string>
+#include <vector>
+
+namespace currantreel::tool {
+
+/// Runs a `config` command. @param arguments begin with `config`. Returns the exit status.
+[[nodiscard]] int config(const std::vector<std::string> &arguments);
+
+} // namespace currantreel::tool
+
+#endif
--- a/currantreel/src/Configuration/ConfigurationWriter.cpp
+++ b/currantreel/src/Configuration/ConfigurationWriter.cpp
@@ -8,12 +8,7 @@
 
 namespace currantreel {
 
-namespace {
-
-using Output = std::back_insert_iterator<std::string>;
-
-/// @p text as a basic string of TOML.
-std::string quoted(std::string_view text)
+std::string quotedToml(std::string_view text)
 {
     constexpr unsigned char firstPrintable = 0x20;
     std::string result = "\"";
@@ -29,6 +24,10 @@
     return result + '"';
 }
 
+namespace {
+
+using Output = std::back_insert_iterator<std::string>;
+
 template <typename Row>
 std::vector<const Row *> byName(const Table<Row> &table)
 {
@@ -43,7 +42,7 @@
 
 void write(const RequestClass &row, Output out)
 {
-    fmt::format_to(out, "\n[[class]]\nname = {}\ntier = {}\n", quoted(row.name), row.tier);
+    fmt::format_to(out, "\n[[class]]\nname = {}\ntier = {}\n", quotedToml(row.name), row.tier);
     fmt::format_to(out, "first_token_ms = {}\nanswer_ms = {}\n",
                    toMilliseconds(row.firstTokenTarget), toMilliseconds(row.answerTarget));
     fmt::format_to(out, "repeat = \"{}\"\nkeys = \"{}\"\nlate = \"{}\"\n",
@@ -58,7 +57,8 @@
 {
     const RequestClass *requestClass = configuration.classes.find(row.defaultClass);
     fmt::format_to(out, "\n[[workspace]]\nname = {}\ndefault_class = {}\nshare = {}\n",
-                   quoted(row.name), quoted(requestClass ? requestClass->name : ""), row.share);
+                   quotedToml(row.name), quotedToml(requestClass ? requestClass->name : ""),
+                   row.share);
 }
 
 void writeModels(const BackendServer &row, const Configuration &configuration, Output out)
@@ -67,7 +67,7 @@
     std::string_view separator;
     for (const ModelId id : row.models) {
         const Model *model = configuration.models.find(id);
-        fmt::format_to(out, "{}{}", separator, quoted(model ? model->name : ""));
+        fmt::format_to(out, "{}{}", separator, quotedToml(model ? model->name : ""));
         separator = ", ";
     }
     fmt::format_to(out, "]\nkv_tokens = {}\n", row.kvTokens);
@@ -76,14 +76,14 @@
 void write(const BackendServer &row, const Configuration &configuration, Output out)
 {
     const bool isEngine = row.kind == BackendKind::Engine;
-    fmt::format_to(out, "\n[[backend_server]]\nname = {}\nkind = \"{}\"\n", quoted(row.name),
+    fmt::format_to(out, "\n[[backend_server]]\nname = {}\nkind = \"{}\"\n", quotedToml(row.name),
                    isEngine ? "engine" : "service");
     fmt::format_to(out, "failure_domain = {}\naddress = {}\nslots = {}\n",
-                   quoted(row.failureDomainName), quoted(toText(row.address)), row.slots);
+                   quotedToml(row.failureDomainName), quotedToml(toText(row.address)), row.slots);
     if (isEngine)
         writeModels(row, configuration, out);
     else
-        fmt::format_to(out, "service = {}\n", quoted(row.serviceName));
+        fmt::format_to(out, "service = {}\n", quotedToml(row.serviceName));
 }
 
 } // namespace
@@ -97,7 +97,7 @@
     for (const RequestClass *row : byName(configuration.classes))
         write(*row, out);
     for (const Model *row : byName(configuration.models))
-        fmt::format_to(out, "\n[[model]]\nname = {}\n", quoted(row->name));
+        fmt::format_to(out, "\n[[model]]\nname = {}\n", quotedToml(row->name));
     for (const Workspace *row : byName(configuration.workspaces))
         write(*row, configuration, out);
     for (const BackendServer *row : byName(configuration.backendServers))
--- a/currantreel/src/Shell/OperatorFront.cpp
+++ b/currantreel/src/Shell/OperatorFront.cpp
@@ -1,6 +1,8 @@
 #include "OperatorFront.h"
 
 #include "HttpReply.h"
+#include <chrono>
+#include <fmt/chrono.h>
 #include <fmt/format.h>
 #include <iterator>
 #include <nlohmann/json.hpp>
@@ -14,6 +16,16 @@
 constexpr std::string_view plainText = "text/plain; charset=utf-8";
 constexpr std::string_view metricsText = "text/plain; version=0.0.4; charset=utf-8";
 
+/// @p time of the core's clock as UTC, by the difference of both clocks at present.
+std::string wallTime(TimePoint time)
+{
+    const auto age = std::chrono::steady_clock::now().time_since_epoch() - time.time_since_epoch();
+    const auto wall = std::chrono::system_clock::now()
+                      - std::chrono::duration_cast<std::chrono::system_clock::duration>(age);
+    return fmt::format("{:%Y-%m-%dT%H:%M:%SZ}",
+                       fmt::gmtime(std::chrono::system_clock::to_time_t(wall)));
+}
+
 } // namespace
 
 OperatorFront::OperatorFront(event_base *base, const HostSettings &settings, const World &world)
@@ -45,6 +57,11 @@
                   m_world->isReady() ? "ready\n" : "not ready\n");
     else if (path == "/v1/status")
         sendReply(request, statusOk, jsonType, statusBody());
+    else if (path == "/v1/config")
+        sendReply(request, statusOk, jsonType,
+                  configurationBody(!queryOf(request, "summary").empty()));
+    else if (path == "/v1/audit")
+        sendReply(request, statusOk, jsonType, auditBody());
     else if (path == "/metrics")
         sendReply(request, statusOk, metricsText, metricsBody());
     else
@@ -87,6 +104,50 @@
     return status.dump();
 }
 
+std::string OperatorFront::configurationBody(bool isSummary) const
+{
+    const ConfigurationSystem &system = m_world->configurationSystem();
+    const ConfigurationLog &log = system.log();
+    nlohmann::json body;
+    body["version"] = log.version();
+    body["position"] = log.position();
+    body["digest"] = log.digest();
+    body["held"] = nullptr;
+    if (log.held())
+        body["held"] = { { "patch", log.held()->number },
+                         { "code", number(log.held()->error.code) },
+                         { "detail", log.held()->error.detail } };
+    body["diverged"] = system.hasDiverged();
+    body["platform"] = { { "reachable", system.platform().isReachable() },
+                         { "calls", system.platform().calls() } };
+    if (!isSummary)
+        body["document"] = log.snapshot();
+    return body.dump();
+}
+
+std::string OperatorFront::auditBody() const
+{
+    const ConfigurationLog &log = m_world->configurationSystem().log();
+    nlohmann::json body;
+    body["position"] = log.position();
+    body["digest"] = log.digest();
+    body["records"] = nlohmann::json::array();
+    for (const AuditRecord &record : log.trail().records()) {
+        nlohmann::json row{ { "patch", record.position }, { "version", record.version },
+                            { "digest", record.digest },  { "author", record.author },
+                            { "reason", record.reason },  { "seen", wallTime(record.seen) },
+                            { "verdict", "accepted" } };
+        if (record.refusal) {
+            row["verdict"] = "rejected";
+            row["code"] = number(record.refusal->code);
+            row["name"] = info(record.refusal->code).name;
+            row["detail"] = record.refusal->detail;
+        }
+        body["records"].push_back(std::move(row));
+    }
+    return body.dump();
+}
+
 std::string OperatorFront::metricsBody() const
 {
     const Counters &counters = m_world->counters();
--- a/currantreel/src/Shell/OperatorFront.h
+++ b/currantreel/src/Shell/OperatorFront.h
@@ -20,6 +20,8 @@
     static void onRequest(evhttp_request *request, void *self);
     void answer(evhttp_request *request);
     [[nodiscard]] std::string statusBody() const;
+    [[nodiscard]] std::string configurationBody(bool isSummary) const;
+    [[nodiscard]] std::string auditBody() const;
     [[nodiscard]] std::string metricsBody() const;
 
     const HostSettings *m_settings;
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -94,6 +94,35 @@
 curl -sS "http://$net.3:8080/v1/idempotency-keys/$key" > "$work/payment-state"
 expect payment-state '"state":"completed"'
 
+# Patches: one against the version in force, one against an old version.
+cat > "$work/changes.toml" << 'EOF'
+[[workspace]]
+name = "cooperative-kesan"
+default_class = "lot-summary"
+EOF
+hosts=("$net.1:8081" "$net.2:8081" "$net.3:8081")
+"$bin/currantreel" config propose "${hosts[0]}" "$work/changes.toml" --author ayse --reason "new cooperative" \
+    > "$work/patch.toml" 2> "$work/propose"
+expect propose 'patch 2 is accepted'
+"$bin/currantreel" config submit "$work" "$work/patch.toml" 2> /dev/null
+"$bin/currantreel" config wait 2 "${hosts[@]}" > "$work/wait"
+expect wait 'version 2 in force on 3 hosts'
+"$bin/currantreel" config check "$work" "$work/patch.toml" 2> "$work/stale" && failures=$((failures + 1))
+expect stale 'patch_stale_base'
+"$bin/currantreel" config submit "$work" "$work/patch.toml" --unchecked > /dev/null 2>&1
+"$bin/currantreel" config propose "$work" "$work/patch.toml" --rebase > "$work/rebased.toml" 2> "$work/rebase"
+expect rebase 'patch 4 is accepted'
+"$bin/currantreel" config submit "$work" "$work/rebased.toml" > /dev/null 2>&1
+"$bin/currantreel" config wait 4 "${hosts[@]}" > "$work/wait-rebased"
+expect wait-rebased 'version 4 in force on 3 hosts'
+for host in "${hosts[@]}"; do
+    "$bin/currantreel" config audit "$host" > "$work/audit"
+    expect audit 'patch 3      rejected 2006'
+    expect audit 'patch 4      accepted'
+done
+"$bin/currantreel" config show "$net.3:8081" > "$work/show"
+expect show 'cooperative-kesan'
+
 "$bin/currantreel" status "$net.1:8081" "$net.2:8081" "$net.3:8081" | tee "$work/status"
 expect status 'edirne-a-1'
 [ "$failures" = 0 ] || { echo "$failures wrong"; exit 1; }
