--- a/apps/ToolCommands.cpp
+++ b/apps/ToolCommands.cpp
@@ -5,7 +5,6 @@
 #include "ToolReplay.h"
 #include "ToolReport.h"
 #include <algorithm>
-#include <currantreel/Configuration>
 #include <currantreel/Core>
 #include <currantreel/Settings>
 #include <fmt/format.h>
--- a/test/ConfigurationFleetFixture.h
+++ b/test/ConfigurationFleetFixture.h
@@ -186,8 +186,11 @@
             Host &to = *hosts[index.at(outgoing.to)];
             const bool isCut =
                 isCutLink(host.context.self.failureDomain, to.context.self.failureDomain);
-            if (!isCut)
-                to.inbox.push_back({ host.context.self.id, std::move(outgoing.message) });
+            if (isCut)
+                continue;
+            if (onMessage)
+                onMessage(outgoing.message);
+            to.inbox.push_back({ host.context.self.id, std::move(outgoing.message) });
         }
     }
 
@@ -220,6 +223,7 @@
     std::vector<std::unique_ptr<Host>> hosts;
     std::map<HostId, std::size_t> index;
     std::size_t calls = 0;
+    std::function<void(const PeerMessage &)> onMessage; ///< Sees each message delivered.
     std::function<bool(FailureDomainId)> isCutFromPlatform = [](FailureDomainId) { return false; };
     std::function<bool(FailureDomainId, FailureDomainId)> isCutLink =
         [](FailureDomainId, FailureDomainId) { return false; };
