Let a host that starts while the platform is down turn ready from its peers at once

Cause: a failed read of the host list did not count as an attempt at the platform, so a host whose list could not be read waited for the longest time of 30 s.

Change: any call that the platform does not answer counts as tried. The test now asks for readiness within 5 s of the start.

Conclusion: peers suffice for a start without the platform.

--- a/currantreel/src/World/PlatformReader.cpp
+++ b/currantreel/src/World/PlatformReader.cpp
@@ -237,6 +237,7 @@
 void PlatformReader::onUnreachable(const StepContext &context, const PlatformUnreachable &event)
 {
     m_isReachable = false;
+    m_hasTried = true;
     if (event.path == hostsPath) {
         m_isListing = false;
         m_listRetry =
@@ -245,7 +246,6 @@
         return;
     }
     m_isCalling = false;
-    m_hasTried = true;
     retryLater(context);
 }
 
--- a/currantreel/src/World/PlatformReader.h
+++ b/currantreel/src/World/PlatformReader.h
@@ -38,7 +38,7 @@
     [[nodiscard]] static bool isReader(const StepContext &context);
 
     [[nodiscard]] const PlatformHead &head() const { return m_head; }
-    /// True once the platform has answered or failed to answer a read of the head.
+    /// True once the platform has answered a read of the head or failed to answer a call.
     [[nodiscard]] bool hasTried() const { return m_hasTried; }
     [[nodiscard]] std::uint64_t calls() const { return m_calls; }
     /// True if the last call was answered.
--- a/test/ConfigurationFleetFixture.h
+++ b/test/ConfigurationFleetFixture.h
@@ -20,16 +20,20 @@
         values[fmt::format("patch/{}", number)] = patch;
         position = number;
     }
-    void publishSnapshot(std::uint64_t number, const std::string &text)
+    /// @param partBytes size of each part but the last.
+    void publishSnapshot(std::uint64_t number, const std::string &text,
+                         std::size_t partBytes = largestValueBytes)
     {
-        values[fmt::format("snapshot/{}/0", number)] = text;
+        parts = 0;
+        for (std::size_t at = 0; at < text.size(); at += partBytes)
+            values[fmt::format("snapshot/{}/{}", number, parts++)] = text.substr(at, partBytes);
         position = number;
         snapshot = number;
     }
     [[nodiscard]] std::string head() const
     {
-        return fmt::format(R"({{"version":{},"snapshot":{},"parts":1}})",
-                           mode == Mode::Stale ? stalePosition : position, snapshot);
+        return fmt::format(R"({{"version":{},"snapshot":{},"parts":{}}})",
+                           mode == Mode::Stale ? stalePosition : position, snapshot, parts);
     }
     [[nodiscard]] PlatformValue read(const std::string &path) const
     {
@@ -45,6 +49,7 @@
     std::uint64_t position = 0;
     std::uint64_t stalePosition = 0;
     std::uint64_t snapshot = 0;
+    std::size_t parts = 0;
 };
 
 /// Many hosts, of which only the configuration lives, under one virtual clock.
--- a/test/ConfigurationFleetTest.cpp
+++ b/test/ConfigurationFleetTest.cpp
@@ -83,14 +83,35 @@
         ConfigurationFleet::Host &late = *fleet.hosts.back();
         for (const HostEntry &entry : fleet.list.hosts)
             late.context.hosts.insert(entry);
-        while (!late.system.isCaughtUp() && fleet.now < TimePoint(Duration(60s)))
+        const TimePoint begin = fleet.now;
+        while (!late.system.isCaughtUp() && fleet.now < begin + 5s)
             fleet.advance(fleet.tick);
+        CHECK(late.system.isCaughtUp());
         CHECK(late.context.configuration->version == 3);
         fleet.advance(60s);
         CHECK(fleet.haveVersion(3));
     }
 }
 
+TEST_CASE("a snapshot of several parts reaches all hosts, in pieces between them")
+{
+    ConfigurationFleet fleet(12);
+    std::string document = smallConfiguration;
+    for (int i = 0; i < 3'000; ++i)
+        document += fmt::format("[[workspace]]\nname = \"w{}\"\ndefault_class = \"gate\"\n", i);
+    std::size_t largest = 0;
+    fleet.onMessage = [&](const PeerMessage &message) {
+        if (const auto *part = std::get_if<SnapshotPart>(&message))
+            largest = std::max(largest, part->bytes.size());
+    };
+    fleet.platform.publishSnapshot(1, document, 40'000);
+    REQUIRE(fleet.platform.parts > 2);
+    fleet.advance(10s);
+    CHECK(fleet.haveVersion(1));
+    CHECK(fleet.hosts.back()->context.configuration->workspaces.size() == 3'001);
+    CHECK(largest == messagePayloadBytes);
+}
+
 TEST_CASE("a domain cut off from all gets what it missed within 15 s of healing")
 {
     ConfigurationFleet fleet(60);
