--- a/test/ConfigurationFleetFixture.h
+++ b/test/ConfigurationFleetFixture.h
@@ -20,16 +20,20 @@
         values[fmt::format("patch/{}", number)] = patch;
         position = number;
     }
-    void publishSnapshot(std::uint64_t number, const std::string &text)
+    /// @param partBytes size of each part but the last.
+    void publishSnapshot(std::uint64_t number, const std::string &text,
+                         std::size_t partBytes = largestValueBytes)
     {
-        values[fmt::format("snapshot/{}/0", number)] = text;
+        parts = 0;
+        for (std::size_t at = 0; at < text.size(); at += partBytes)
+            values[fmt::format("snapshot/{}/{}", number, parts++)] = text.substr(at, partBytes);
         position = number;
         snapshot = number;
     }
     [[nodiscard]] std::string head() const
     {
-        return fmt::format(R"({{"version":{},"snapshot":{},"parts":1}})",
-                           mode == Mode::Stale ? stalePosition : position, snapshot);
+        return fmt::format(R"({{"version":{},"snapshot":{},"parts":{}}})",
+                           mode == Mode::Stale ? stalePosition : position, snapshot, parts);
     }
     [[nodiscard]] PlatformValue read(const std::string &path) const
     {
@@ -45,6 +49,7 @@
     std::uint64_t position = 0;
     std::uint64_t stalePosition = 0;
     std::uint64_t snapshot = 0;
+    std::size_t parts = 0;
 };
 
 /// Many hosts, of which only the configuration lives, under one virtual clock.
@@ -186,8 +191,11 @@
             Host &to = *hosts[index.at(outgoing.to)];
             const bool isCut =
                 isCutLink(host.context.self.failureDomain, to.context.self.failureDomain);
-            if (!isCut)
-                to.inbox.push_back({ host.context.self.id, std::move(outgoing.message) });
+            if (isCut)
+                continue;
+            if (onMessage)
+                onMessage(outgoing.message);
+            to.inbox.push_back({ host.context.self.id, std::move(outgoing.message) });
         }
     }
 
@@ -220,6 +228,7 @@
     std::vector<std::unique_ptr<Host>> hosts;
     std::map<HostId, std::size_t> index;
     std::size_t calls = 0;
+    std::function<void(const PeerMessage &)> onMessage; ///< Sees each message delivered.
     std::function<bool(FailureDomainId)> isCutFromPlatform = [](FailureDomainId) { return false; };
     std::function<bool(FailureDomainId, FailureDomainId)> isCutLink =
         [](FailureDomainId, FailureDomainId) { return false; };
