--- a/currantreel/src/Admission/GrantMessages.h
+++ b/currantreel/src/Admission/GrantMessages.h
@@ -63,6 +63,13 @@
     Duration retryAfter{};
 };
 
+/// Owner to entry: the request is no longer queued here, because another host owns the servers now.
+/// It has not run; ask again.
+struct GrantMoved
+{
+    GrantId id;
+};
+
 /// Owner to entry: stop the running work of this lease, a higher tier needs the slot.
 struct LeasePreempted
 {
--- a/currantreel/src/Peer/Generated/PeerMessage_generated.h
+++ b/currantreel/src/Peer/Generated/PeerMessage_generated.h
@@ -38,6 +38,35 @@
 struct LeaseRenewal;
 struct LeaseRenewalBuilder;
 
+struct MemberVersion;
+
+struct MemberNews;
+
+struct Introduction;
+struct IntroductionBuilder;
+
+struct TargetLoad;
+
+struct DomainLoad;
+
+struct Gossip;
+struct GossipBuilder;
+
+struct Probe;
+struct ProbeBuilder;
+
+struct ProbeAck;
+struct ProbeAckBuilder;
+
+struct ProbeRequest;
+struct ProbeRequestBuilder;
+
+struct NewsPush;
+struct NewsPushBuilder;
+
+struct GrantMoved;
+struct GrantMovedBuilder;
+
 struct Greeting;
 struct GreetingBuilder;
 
@@ -92,11 +121,16 @@
   SnapshotRequest = 14,
   SnapshotPart = 15,
   LeavingServers = 16,
+  Probe = 17,
+  ProbeAck = 18,
+  ProbeRequest = 19,
+  NewsPush = 20,
+  GrantMoved = 21,
   MIN = NONE,
-  MAX = LeavingServers
+  MAX = GrantMoved
 };
 
-inline const Body (&EnumValuesBody())[17] {
+inline const Body (&EnumValuesBody())[22] {
   static const Body values[] = {
     Body::NONE,
     Body::Greeting,
@@ -114,13 +148,18 @@
     Body::PatchBatch,
     Body::SnapshotRequest,
     Body::SnapshotPart,
-    Body::LeavingServers
+    Body::LeavingServers,
+    Body::Probe,
+    Body::ProbeAck,
+    Body::ProbeRequest,
+    Body::NewsPush,
+    Body::GrantMoved
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[18] = {
+  static const char * const names[23] = {
     "NONE",
     "Greeting",
     "Proof",
@@ -138,13 +177,18 @@
     "SnapshotRequest",
     "SnapshotPart",
     "LeavingServers",
+    "Probe",
+    "ProbeAck",
+    "ProbeRequest",
+    "NewsPush",
+    "GrantMoved",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::LeavingServers)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::GrantMoved)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -217,6 +261,26 @@
   static const Body enum_value = Body::LeavingServers;
 };
 
+template<> struct BodyTraits<currantreel::wire::Probe> {
+  static const Body enum_value = Body::Probe;
+};
+
+template<> struct BodyTraits<currantreel::wire::ProbeAck> {
+  static const Body enum_value = Body::ProbeAck;
+};
+
+template<> struct BodyTraits<currantreel::wire::ProbeRequest> {
+  static const Body enum_value = Body::ProbeRequest;
+};
+
+template<> struct BodyTraits<currantreel::wire::NewsPush> {
+  static const Body enum_value = Body::NewsPush;
+};
+
+template<> struct BodyTraits<currantreel::wire::GrantMoved> {
+  static const Body enum_value = Body::GrantMoved;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -301,6 +365,173 @@
   using type = LeaseItem;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) MemberVersion FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t incarnation_;
+  uint32_t refutation_;
+  int32_t padding0__;
+
+ public:
+  struct Traits;
+  MemberVersion()
+      : incarnation_(0),
+        refutation_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  MemberVersion(uint64_t _incarnation, uint32_t _refutation)
+      : incarnation_(flatbuffers::EndianScalar(_incarnation)),
+        refutation_(flatbuffers::EndianScalar(_refutation)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t incarnation() const {
+    return flatbuffers::EndianScalar(incarnation_);
+  }
+  uint32_t refutation() const {
+    return flatbuffers::EndianScalar(refutation_);
+  }
+};
+FLATBUFFERS_STRUCT_END(MemberVersion, 16);
+
+struct MemberVersion::Traits {
+  using type = MemberVersion;
+};
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) MemberNews FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t id_;
+  currantreel::wire::MemberVersion version_;
+  uint8_t state_;
+  int8_t padding0__;  int16_t padding1__;  int32_t padding2__;
+
+ public:
+  struct Traits;
+  MemberNews()
+      : id_(0),
+        version_(),
+        state_(0),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  MemberNews(uint64_t _id, const currantreel::wire::MemberVersion &_version, uint8_t _state)
+      : id_(flatbuffers::EndianScalar(_id)),
+        version_(_version),
+        state_(flatbuffers::EndianScalar(_state)),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  uint64_t id() const {
+    return flatbuffers::EndianScalar(id_);
+  }
+  const currantreel::wire::MemberVersion &version() const {
+    return version_;
+  }
+  uint8_t state() const {
+    return flatbuffers::EndianScalar(state_);
+  }
+};
+FLATBUFFERS_STRUCT_END(MemberNews, 32);
+
+struct MemberNews::Traits {
+  using type = MemberNews;
+};
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) TargetLoad FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t target_;
+  uint32_t slots_;
+  uint32_t free_slots_;
+  uint32_t queued_[5];
+  int32_t padding0__;
+
+ public:
+  struct Traits;
+  TargetLoad()
+      : target_(0),
+        slots_(0),
+        free_slots_(0),
+        queued_(),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  TargetLoad(uint64_t _target, uint32_t _slots, uint32_t _free_slots)
+      : target_(flatbuffers::EndianScalar(_target)),
+        slots_(flatbuffers::EndianScalar(_slots)),
+        free_slots_(flatbuffers::EndianScalar(_free_slots)),
+        queued_(),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  TargetLoad(uint64_t _target, uint32_t _slots, uint32_t _free_slots, flatbuffers::span<const uint32_t, 5> _queued)
+      : target_(flatbuffers::EndianScalar(_target)),
+        slots_(flatbuffers::EndianScalar(_slots)),
+        free_slots_(flatbuffers::EndianScalar(_free_slots)),
+        padding0__(0) {
+    flatbuffers::CastToArray(queued_).CopyFromSpan(_queued);
+    (void)padding0__;
+  }
+  uint64_t target() const {
+    return flatbuffers::EndianScalar(target_);
+  }
+  uint32_t slots() const {
+    return flatbuffers::EndianScalar(slots_);
+  }
+  uint32_t free_slots() const {
+    return flatbuffers::EndianScalar(free_slots_);
+  }
+  const flatbuffers::Array<uint32_t, 5> *queued() const {
+    return &flatbuffers::CastToArray(queued_);
+  }
+};
+FLATBUFFERS_STRUCT_END(TargetLoad, 40);
+
+struct TargetLoad::Traits {
+  using type = TargetLoad;
+};
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) DomainLoad FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t failure_domain_;
+  int64_t age_us_;
+  currantreel::wire::TargetLoad load_;
+
+ public:
+  struct Traits;
+  DomainLoad()
+      : failure_domain_(0),
+        age_us_(0),
+        load_() {
+  }
+  DomainLoad(uint64_t _failure_domain, int64_t _age_us, const currantreel::wire::TargetLoad &_load)
+      : failure_domain_(flatbuffers::EndianScalar(_failure_domain)),
+        age_us_(flatbuffers::EndianScalar(_age_us)),
+        load_(_load) {
+  }
+  uint64_t failure_domain() const {
+    return flatbuffers::EndianScalar(failure_domain_);
+  }
+  int64_t age_us() const {
+    return flatbuffers::EndianScalar(age_us_);
+  }
+  const currantreel::wire::TargetLoad &load() const {
+    return load_;
+  }
+};
+FLATBUFFERS_STRUCT_END(DomainLoad, 56);
+
+struct DomainLoad::Traits {
+  using type = DomainLoad;
+};
+
 struct GrantRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef GrantRequestBuilder Builder;
   struct Traits;
@@ -855,6 +1086,612 @@
       items__);
 }
 
+struct Introduction FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef IntroductionBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_NAME = 6,
+    VT_FAILURE_DOMAIN = 8,
+    VT_CALLERS_IP = 10,
+    VT_CALLERS_PORT = 12,
+    VT_PEERS_IP = 14,
+    VT_PEERS_PORT = 16,
+    VT_IS_LEAVING = 18,
+    VT_VERSION = 20
+  };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
+  const flatbuffers::String *name() const {
+    return GetPointer<const flatbuffers::String *>(VT_NAME);
+  }
+  uint64_t failure_domain() const {
+    return GetField<uint64_t>(VT_FAILURE_DOMAIN, 0);
+  }
+  const flatbuffers::String *callers_ip() const {
+    return GetPointer<const flatbuffers::String *>(VT_CALLERS_IP);
+  }
+  uint16_t callers_port() const {
+    return GetField<uint16_t>(VT_CALLERS_PORT, 0);
+  }
+  const flatbuffers::String *peers_ip() const {
+    return GetPointer<const flatbuffers::String *>(VT_PEERS_IP);
+  }
+  uint16_t peers_port() const {
+    return GetField<uint16_t>(VT_PEERS_PORT, 0);
+  }
+  bool is_leaving() const {
+    return GetField<uint8_t>(VT_IS_LEAVING, 0) != 0;
+  }
+  const currantreel::wire::MemberVersion *version() const {
+    return GetStruct<const currantreel::wire::MemberVersion *>(VT_VERSION);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyOffset(verifier, VT_NAME) &&
+           verifier.VerifyString(name()) &&
+           VerifyField<uint64_t>(verifier, VT_FAILURE_DOMAIN, 8) &&
+           VerifyOffset(verifier, VT_CALLERS_IP) &&
+           verifier.VerifyString(callers_ip()) &&
+           VerifyField<uint16_t>(verifier, VT_CALLERS_PORT, 2) &&
+           VerifyOffset(verifier, VT_PEERS_IP) &&
+           verifier.VerifyString(peers_ip()) &&
+           VerifyField<uint16_t>(verifier, VT_PEERS_PORT, 2) &&
+           VerifyField<uint8_t>(verifier, VT_IS_LEAVING, 1) &&
+           VerifyField<currantreel::wire::MemberVersion>(verifier, VT_VERSION, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct IntroductionBuilder {
+  typedef Introduction Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(Introduction::VT_ID, id, 0);
+  }
+  void add_name(flatbuffers::Offset<flatbuffers::String> name) {
+    fbb_.AddOffset(Introduction::VT_NAME, name);
+  }
+  void add_failure_domain(uint64_t failure_domain) {
+    fbb_.AddElement<uint64_t>(Introduction::VT_FAILURE_DOMAIN, failure_domain, 0);
+  }
+  void add_callers_ip(flatbuffers::Offset<flatbuffers::String> callers_ip) {
+    fbb_.AddOffset(Introduction::VT_CALLERS_IP, callers_ip);
+  }
+  void add_callers_port(uint16_t callers_port) {
+    fbb_.AddElement<uint16_t>(Introduction::VT_CALLERS_PORT, callers_port, 0);
+  }
+  void add_peers_ip(flatbuffers::Offset<flatbuffers::String> peers_ip) {
+    fbb_.AddOffset(Introduction::VT_PEERS_IP, peers_ip);
+  }
+  void add_peers_port(uint16_t peers_port) {
+    fbb_.AddElement<uint16_t>(Introduction::VT_PEERS_PORT, peers_port, 0);
+  }
+  void add_is_leaving(bool is_leaving) {
+    fbb_.AddElement<uint8_t>(Introduction::VT_IS_LEAVING, static_cast<uint8_t>(is_leaving), 0);
+  }
+  void add_version(const currantreel::wire::MemberVersion *version) {
+    fbb_.AddStruct(Introduction::VT_VERSION, version);
+  }
+  explicit IntroductionBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Introduction> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Introduction>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Introduction> CreateIntroduction(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    flatbuffers::Offset<flatbuffers::String> name = 0,
+    uint64_t failure_domain = 0,
+    flatbuffers::Offset<flatbuffers::String> callers_ip = 0,
+    uint16_t callers_port = 0,
+    flatbuffers::Offset<flatbuffers::String> peers_ip = 0,
+    uint16_t peers_port = 0,
+    bool is_leaving = false,
+    const currantreel::wire::MemberVersion *version = nullptr) {
+  IntroductionBuilder builder_(_fbb);
+  builder_.add_failure_domain(failure_domain);
+  builder_.add_id(id);
+  builder_.add_version(version);
+  builder_.add_peers_ip(peers_ip);
+  builder_.add_callers_ip(callers_ip);
+  builder_.add_name(name);
+  builder_.add_peers_port(peers_port);
+  builder_.add_callers_port(callers_port);
+  builder_.add_is_leaving(is_leaving);
+  return builder_.Finish();
+}
+
+struct Introduction::Traits {
+  using type = Introduction;
+  static auto constexpr Create = CreateIntroduction;
+};
+
+inline flatbuffers::Offset<Introduction> CreateIntroductionDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    const char *name = nullptr,
+    uint64_t failure_domain = 0,
+    const char *callers_ip = nullptr,
+    uint16_t callers_port = 0,
+    const char *peers_ip = nullptr,
+    uint16_t peers_port = 0,
+    bool is_leaving = false,
+    const currantreel::wire::MemberVersion *version = nullptr) {
+  auto name__ = name ? _fbb.CreateString(name) : 0;
+  auto callers_ip__ = callers_ip ? _fbb.CreateString(callers_ip) : 0;
+  auto peers_ip__ = peers_ip ? _fbb.CreateString(peers_ip) : 0;
+  return currantreel::wire::CreateIntroduction(
+      _fbb,
+      id,
+      name__,
+      failure_domain,
+      callers_ip__,
+      callers_port,
+      peers_ip__,
+      peers_port,
+      is_leaving,
+      version);
+}
+
+struct Gossip FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef GossipBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SENDER = 4,
+    VT_IS_LEAVING = 6,
+    VT_NEWS = 8,
+    VT_INTRODUCTIONS = 10,
+    VT_CONFIGURATION_VERSION = 12,
+    VT_CONFIGURATION_DIGEST = 14,
+    VT_OWN_LOADS = 16,
+    VT_DOMAIN_LOADS = 18
+  };
+  const currantreel::wire::MemberVersion *sender() const {
+    return GetStruct<const currantreel::wire::MemberVersion *>(VT_SENDER);
+  }
+  bool is_leaving() const {
+    return GetField<uint8_t>(VT_IS_LEAVING, 0) != 0;
+  }
+  const flatbuffers::Vector<const currantreel::wire::MemberNews *> *news() const {
+    return GetPointer<const flatbuffers::Vector<const currantreel::wire::MemberNews *> *>(VT_NEWS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<currantreel::wire::Introduction>> *introductions() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<currantreel::wire::Introduction>> *>(VT_INTRODUCTIONS);
+  }
+  uint64_t configuration_version() const {
+    return GetField<uint64_t>(VT_CONFIGURATION_VERSION, 0);
+  }
+  const flatbuffers::String *configuration_digest() const {
+    return GetPointer<const flatbuffers::String *>(VT_CONFIGURATION_DIGEST);
+  }
+  const flatbuffers::Vector<const currantreel::wire::TargetLoad *> *own_loads() const {
+    return GetPointer<const flatbuffers::Vector<const currantreel::wire::TargetLoad *> *>(VT_OWN_LOADS);
+  }
+  const flatbuffers::Vector<const currantreel::wire::DomainLoad *> *domain_loads() const {
+    return GetPointer<const flatbuffers::Vector<const currantreel::wire::DomainLoad *> *>(VT_DOMAIN_LOADS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<currantreel::wire::MemberVersion>(verifier, VT_SENDER, 8) &&
+           VerifyField<uint8_t>(verifier, VT_IS_LEAVING, 1) &&
+           VerifyOffset(verifier, VT_NEWS) &&
+           verifier.VerifyVector(news()) &&
+           VerifyOffset(verifier, VT_INTRODUCTIONS) &&
+           verifier.VerifyVector(introductions()) &&
+           verifier.VerifyVectorOfTables(introductions()) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIGURATION_VERSION, 8) &&
+           VerifyOffset(verifier, VT_CONFIGURATION_DIGEST) &&
+           verifier.VerifyString(configuration_digest()) &&
+           VerifyOffset(verifier, VT_OWN_LOADS) &&
+           verifier.VerifyVector(own_loads()) &&
+           VerifyOffset(verifier, VT_DOMAIN_LOADS) &&
+           verifier.VerifyVector(domain_loads()) &&
+           verifier.EndTable();
+  }
+};
+
+struct GossipBuilder {
+  typedef Gossip Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_sender(const currantreel::wire::MemberVersion *sender) {
+    fbb_.AddStruct(Gossip::VT_SENDER, sender);
+  }
+  void add_is_leaving(bool is_leaving) {
+    fbb_.AddElement<uint8_t>(Gossip::VT_IS_LEAVING, static_cast<uint8_t>(is_leaving), 0);
+  }
+  void add_news(flatbuffers::Offset<flatbuffers::Vector<const currantreel::wire::MemberNews *>> news) {
+    fbb_.AddOffset(Gossip::VT_NEWS, news);
+  }
+  void add_introductions(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<currantreel::wire::Introduction>>> introductions) {
+    fbb_.AddOffset(Gossip::VT_INTRODUCTIONS, introductions);
+  }
+  void add_configuration_version(uint64_t configuration_version) {
+    fbb_.AddElement<uint64_t>(Gossip::VT_CONFIGURATION_VERSION, configuration_version, 0);
+  }
+  void add_configuration_digest(flatbuffers::Offset<flatbuffers::String> configuration_digest) {
+    fbb_.AddOffset(Gossip::VT_CONFIGURATION_DIGEST, configuration_digest);
+  }
+  void add_own_loads(flatbuffers::Offset<flatbuffers::Vector<const currantreel::wire::TargetLoad *>> own_loads) {
+    fbb_.AddOffset(Gossip::VT_OWN_LOADS, own_loads);
+  }
+  void add_domain_loads(flatbuffers::Offset<flatbuffers::Vector<const currantreel::wire::DomainLoad *>> domain_loads) {
+    fbb_.AddOffset(Gossip::VT_DOMAIN_LOADS, domain_loads);
+  }
+  explicit GossipBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Gossip> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Gossip>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Gossip> CreateGossip(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const currantreel::wire::MemberVersion *sender = nullptr,
+    bool is_leaving = false,
+    flatbuffers::Offset<flatbuffers::Vector<const currantreel::wire::MemberNews *>> news = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<currantreel::wire::Introduction>>> introductions = 0,
+    uint64_t configuration_version = 0,
+    flatbuffers::Offset<flatbuffers::String> configuration_digest = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const currantreel::wire::TargetLoad *>> own_loads = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const currantreel::wire::DomainLoad *>> domain_loads = 0) {
+  GossipBuilder builder_(_fbb);
+  builder_.add_configuration_version(configuration_version);
+  builder_.add_domain_loads(domain_loads);
+  builder_.add_own_loads(own_loads);
+  builder_.add_configuration_digest(configuration_digest);
+  builder_.add_introductions(introductions);
+  builder_.add_news(news);
+  builder_.add_sender(sender);
+  builder_.add_is_leaving(is_leaving);
+  return builder_.Finish();
+}
+
+struct Gossip::Traits {
+  using type = Gossip;
+  static auto constexpr Create = CreateGossip;
+};
+
+inline flatbuffers::Offset<Gossip> CreateGossipDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const currantreel::wire::MemberVersion *sender = nullptr,
+    bool is_leaving = false,
+    const std::vector<currantreel::wire::MemberNews> *news = nullptr,
+    const std::vector<flatbuffers::Offset<currantreel::wire::Introduction>> *introductions = nullptr,
+    uint64_t configuration_version = 0,
+    const char *configuration_digest = nullptr,
+    const std::vector<currantreel::wire::TargetLoad> *own_loads = nullptr,
+    const std::vector<currantreel::wire::DomainLoad> *domain_loads = nullptr) {
+  auto news__ = news ? _fbb.CreateVectorOfStructs<currantreel::wire::MemberNews>(*news) : 0;
+  auto introductions__ = introductions ? _fbb.CreateVector<flatbuffers::Offset<currantreel::wire::Introduction>>(*introductions) : 0;
+  auto configuration_digest__ = configuration_digest ? _fbb.CreateString(configuration_digest) : 0;
+  auto own_loads__ = own_loads ? _fbb.CreateVectorOfStructs<currantreel::wire::TargetLoad>(*own_loads) : 0;
+  auto domain_loads__ = domain_loads ? _fbb.CreateVectorOfStructs<currantreel::wire::DomainLoad>(*domain_loads) : 0;
+  return currantreel::wire::CreateGossip(
+      _fbb,
+      sender,
+      is_leaving,
+      news__,
+      introductions__,
+      configuration_version,
+      configuration_digest__,
+      own_loads__,
+      domain_loads__);
+}
+
+struct Probe FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ProbeBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SEQUENCE = 4,
+    VT_GOSSIP = 6
+  };
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  const currantreel::wire::Gossip *gossip() const {
+    return GetPointer<const currantreel::wire::Gossip *>(VT_GOSSIP);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyOffset(verifier, VT_GOSSIP) &&
+           verifier.VerifyTable(gossip()) &&
+           verifier.EndTable();
+  }
+};
+
+struct ProbeBuilder {
+  typedef Probe Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(Probe::VT_SEQUENCE, sequence, 0);
+  }
+  void add_gossip(flatbuffers::Offset<currantreel::wire::Gossip> gossip) {
+    fbb_.AddOffset(Probe::VT_GOSSIP, gossip);
+  }
+  explicit ProbeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Probe> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Probe>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Probe> CreateProbe(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t sequence = 0,
+    flatbuffers::Offset<currantreel::wire::Gossip> gossip = 0) {
+  ProbeBuilder builder_(_fbb);
+  builder_.add_sequence(sequence);
+  builder_.add_gossip(gossip);
+  return builder_.Finish();
+}
+
+struct Probe::Traits {
+  using type = Probe;
+  static auto constexpr Create = CreateProbe;
+};
+
+struct ProbeAck FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ProbeAckBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SEQUENCE = 4,
+    VT_TARGET = 6,
+    VT_VERSION = 8,
+    VT_GOSSIP = 10
+  };
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  uint64_t target() const {
+    return GetField<uint64_t>(VT_TARGET, 0);
+  }
+  const currantreel::wire::MemberVersion *version() const {
+    return GetStruct<const currantreel::wire::MemberVersion *>(VT_VERSION);
+  }
+  const currantreel::wire::Gossip *gossip() const {
+    return GetPointer<const currantreel::wire::Gossip *>(VT_GOSSIP);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_TARGET, 8) &&
+           VerifyField<currantreel::wire::MemberVersion>(verifier, VT_VERSION, 8) &&
+           VerifyOffset(verifier, VT_GOSSIP) &&
+           verifier.VerifyTable(gossip()) &&
+           verifier.EndTable();
+  }
+};
+
+struct ProbeAckBuilder {
+  typedef ProbeAck Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(ProbeAck::VT_SEQUENCE, sequence, 0);
+  }
+  void add_target(uint64_t target) {
+    fbb_.AddElement<uint64_t>(ProbeAck::VT_TARGET, target, 0);
+  }
+  void add_version(const currantreel::wire::MemberVersion *version) {
+    fbb_.AddStruct(ProbeAck::VT_VERSION, version);
+  }
+  void add_gossip(flatbuffers::Offset<currantreel::wire::Gossip> gossip) {
+    fbb_.AddOffset(ProbeAck::VT_GOSSIP, gossip);
+  }
+  explicit ProbeAckBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ProbeAck> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ProbeAck>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ProbeAck> CreateProbeAck(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t sequence = 0,
+    uint64_t target = 0,
+    const currantreel::wire::MemberVersion *version = nullptr,
+    flatbuffers::Offset<currantreel::wire::Gossip> gossip = 0) {
+  ProbeAckBuilder builder_(_fbb);
+  builder_.add_target(target);
+  builder_.add_sequence(sequence);
+  builder_.add_gossip(gossip);
+  builder_.add_version(version);
+  return builder_.Finish();
+}
+
+struct ProbeAck::Traits {
+  using type = ProbeAck;
+  static auto constexpr Create = CreateProbeAck;
+};
+
+struct ProbeRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ProbeRequestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SEQUENCE = 4,
+    VT_TARGET = 6,
+    VT_GOSSIP = 8
+  };
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  const currantreel::wire::MemberNews *target() const {
+    return GetStruct<const currantreel::wire::MemberNews *>(VT_TARGET);
+  }
+  const currantreel::wire::Gossip *gossip() const {
+    return GetPointer<const currantreel::wire::Gossip *>(VT_GOSSIP);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyField<currantreel::wire::MemberNews>(verifier, VT_TARGET, 8) &&
+           VerifyOffset(verifier, VT_GOSSIP) &&
+           verifier.VerifyTable(gossip()) &&
+           verifier.EndTable();
+  }
+};
+
+struct ProbeRequestBuilder {
+  typedef ProbeRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(ProbeRequest::VT_SEQUENCE, sequence, 0);
+  }
+  void add_target(const currantreel::wire::MemberNews *target) {
+    fbb_.AddStruct(ProbeRequest::VT_TARGET, target);
+  }
+  void add_gossip(flatbuffers::Offset<currantreel::wire::Gossip> gossip) {
+    fbb_.AddOffset(ProbeRequest::VT_GOSSIP, gossip);
+  }
+  explicit ProbeRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ProbeRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ProbeRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ProbeRequest> CreateProbeRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t sequence = 0,
+    const currantreel::wire::MemberNews *target = nullptr,
+    flatbuffers::Offset<currantreel::wire::Gossip> gossip = 0) {
+  ProbeRequestBuilder builder_(_fbb);
+  builder_.add_sequence(sequence);
+  builder_.add_gossip(gossip);
+  builder_.add_target(target);
+  return builder_.Finish();
+}
+
+struct ProbeRequest::Traits {
+  using type = ProbeRequest;
+  static auto constexpr Create = CreateProbeRequest;
+};
+
+struct NewsPush FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef NewsPushBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_GOSSIP = 4
+  };
+  const currantreel::wire::Gossip *gossip() const {
+    return GetPointer<const currantreel::wire::Gossip *>(VT_GOSSIP);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_GOSSIP) &&
+           verifier.VerifyTable(gossip()) &&
+           verifier.EndTable();
+  }
+};
+
+struct NewsPushBuilder {
+  typedef NewsPush Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_gossip(flatbuffers::Offset<currantreel::wire::Gossip> gossip) {
+    fbb_.AddOffset(NewsPush::VT_GOSSIP, gossip);
+  }
+  explicit NewsPushBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<NewsPush> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<NewsPush>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<NewsPush> CreateNewsPush(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<currantreel::wire::Gossip> gossip = 0) {
+  NewsPushBuilder builder_(_fbb);
+  builder_.add_gossip(gossip);
+  return builder_.Finish();
+}
+
+struct NewsPush::Traits {
+  using type = NewsPush;
+  static auto constexpr Create = CreateNewsPush;
+};
+
+struct GrantMoved FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef GrantMovedBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4
+  };
+  const currantreel::wire::GrantId *id() const {
+    return GetStruct<const currantreel::wire::GrantId *>(VT_ID);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<currantreel::wire::GrantId>(verifier, VT_ID, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct GrantMovedBuilder {
+  typedef GrantMoved Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(const currantreel::wire::GrantId *id) {
+    fbb_.AddStruct(GrantMoved::VT_ID, id);
+  }
+  explicit GrantMovedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<GrantMoved> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<GrantMoved>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<GrantMoved> CreateGrantMoved(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const currantreel::wire::GrantId *id = nullptr) {
+  GrantMovedBuilder builder_(_fbb);
+  builder_.add_id(id);
+  return builder_.Finish();
+}
+
+struct GrantMoved::Traits {
+  using type = GrantMoved;
+  static auto constexpr Create = CreateGrantMoved;
+};
+
 struct Greeting FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef GreetingBuilder Builder;
   struct Traits;
@@ -1653,6 +2490,21 @@
   const currantreel::wire::LeavingServers *body_as_LeavingServers() const {
     return body_type() == currantreel::wire::Body::LeavingServers ? static_cast<const currantreel::wire::LeavingServers *>(body()) : nullptr;
   }
+  const currantreel::wire::Probe *body_as_Probe() const {
+    return body_type() == currantreel::wire::Body::Probe ? static_cast<const currantreel::wire::Probe *>(body()) : nullptr;
+  }
+  const currantreel::wire::ProbeAck *body_as_ProbeAck() const {
+    return body_type() == currantreel::wire::Body::ProbeAck ? static_cast<const currantreel::wire::ProbeAck *>(body()) : nullptr;
+  }
+  const currantreel::wire::ProbeRequest *body_as_ProbeRequest() const {
+    return body_type() == currantreel::wire::Body::ProbeRequest ? static_cast<const currantreel::wire::ProbeRequest *>(body()) : nullptr;
+  }
+  const currantreel::wire::NewsPush *body_as_NewsPush() const {
+    return body_type() == currantreel::wire::Body::NewsPush ? static_cast<const currantreel::wire::NewsPush *>(body()) : nullptr;
+  }
+  const currantreel::wire::GrantMoved *body_as_GrantMoved() const {
+    return body_type() == currantreel::wire::Body::GrantMoved ? static_cast<const currantreel::wire::GrantMoved *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
@@ -1728,6 +2580,26 @@
   return body_as_LeavingServers();
 }
 
+template<> inline const currantreel::wire::Probe *Frame::body_as<currantreel::wire::Probe>() const {
+  return body_as_Probe();
+}
+
+template<> inline const currantreel::wire::ProbeAck *Frame::body_as<currantreel::wire::ProbeAck>() const {
+  return body_as_ProbeAck();
+}
+
+template<> inline const currantreel::wire::ProbeRequest *Frame::body_as<currantreel::wire::ProbeRequest>() const {
+  return body_as_ProbeRequest();
+}
+
+template<> inline const currantreel::wire::NewsPush *Frame::body_as<currantreel::wire::NewsPush>() const {
+  return body_as_NewsPush();
+}
+
+template<> inline const currantreel::wire::GrantMoved *Frame::body_as<currantreel::wire::GrantMoved>() const {
+  return body_as_GrantMoved();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1843,6 +2715,26 @@
       auto ptr = reinterpret_cast<const currantreel::wire::LeavingServers *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::Probe: {
+      auto ptr = reinterpret_cast<const currantreel::wire::Probe *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::ProbeAck: {
+      auto ptr = reinterpret_cast<const currantreel::wire::ProbeAck *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::ProbeRequest: {
+      auto ptr = reinterpret_cast<const currantreel::wire::ProbeRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::NewsPush: {
+      auto ptr = reinterpret_cast<const currantreel::wire::NewsPush *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::GrantMoved: {
+      auto ptr = reinterpret_cast<const currantreel::wire::GrantMoved *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/currantreel/src/Peer/PeerDecoder.cpp
+++ b/currantreel/src/Peer/PeerDecoder.cpp
@@ -1,5 +1,6 @@
 #include "PeerDecoder.h"
 
+#include "GossipCodec.h"
 #include <PeerMessage_generated.h>
 #include <cmath>
 
@@ -69,6 +70,20 @@
         return isValid() && bytes ? std::string(bytes->begin(), bytes->end()) : std::string();
     }
 
+    Gossip gossip(const wire::Gossip *table)
+    {
+        auto gossip = decodeGossip(table);
+        require(gossip.has_value());
+        return std::move(gossip).value_or(Gossip());
+    }
+
+    MemberNews news(const wire::MemberNews *table)
+    {
+        const auto news = decodeNews(table);
+        require(news.has_value());
+        return news.value_or(MemberNews());
+    }
+
     void require(bool isRight) { m_isValid = m_isValid && isRight; }
 
 private:
@@ -181,6 +196,33 @@
     return message;
 }
 
+Probe decode(Reader &reader, const wire::Probe &table)
+{
+    return Probe{ table.sequence(), reader.gossip(table.gossip()) };
+}
+
+ProbeAck decode(Reader &reader, const wire::ProbeAck &table)
+{
+    return ProbeAck{ table.sequence(), HostId{ table.target() }, decodeVersion(table.version()),
+                     reader.gossip(table.gossip()) };
+}
+
+ProbeRequest decode(Reader &reader, const wire::ProbeRequest &table)
+{
+    return ProbeRequest{ table.sequence(), reader.news(table.target()),
+                         reader.gossip(table.gossip()) };
+}
+
+NewsPush decode(Reader &reader, const wire::NewsPush &table)
+{
+    return NewsPush{ reader.gossip(table.gossip()) };
+}
+
+GrantMoved decode(Reader &reader, const wire::GrantMoved &table)
+{
+    return GrantMoved{ reader.grantId(table.id()) };
+}
+
 template <typename Table>
 std::optional<PeerMessage> decodeAs(const wire::Frame &frame)
 {
@@ -220,6 +262,16 @@
         return decodeAs<wire::SnapshotPart>(frame);
     case wire::Body::LeavingServers:
         return decodeAs<wire::LeavingServers>(frame);
+    case wire::Body::Probe:
+        return decodeAs<wire::Probe>(frame);
+    case wire::Body::ProbeAck:
+        return decodeAs<wire::ProbeAck>(frame);
+    case wire::Body::ProbeRequest:
+        return decodeAs<wire::ProbeRequest>(frame);
+    case wire::Body::NewsPush:
+        return decodeAs<wire::NewsPush>(frame);
+    case wire::Body::GrantMoved:
+        return decodeAs<wire::GrantMoved>(frame);
     default:
         return std::nullopt;
     }
--- a/currantreel/src/Peer/PeerEncoder.cpp
+++ b/currantreel/src/Peer/PeerEncoder.cpp
@@ -1,5 +1,6 @@
 #include "PeerEncoder.h"
 
+#include "GossipCodec.h"
 #include <PeerMessage_generated.h>
 
 namespace currantreel::detail {
@@ -117,6 +118,38 @@
     return bodyOf(wire::CreateLeavingServers(builder, builder.CreateVector(servers)));
 }
 
+EncodedBody encode(Builder &builder, const Probe &message)
+{
+    const auto gossip = encodeGossip(builder, message.gossip);
+    return bodyOf(wire::CreateProbe(builder, message.sequence, gossip));
+}
+
+EncodedBody encode(Builder &builder, const ProbeAck &message)
+{
+    const auto gossip = encodeGossip(builder, message.gossip);
+    const wire::MemberVersion version = detail::toWire(message.version);
+    return bodyOf(
+        wire::CreateProbeAck(builder, message.sequence, message.target.value, &version, gossip));
+}
+
+EncodedBody encode(Builder &builder, const ProbeRequest &message)
+{
+    const auto gossip = encodeGossip(builder, message.gossip);
+    const wire::MemberNews target = detail::toWire(message.target);
+    return bodyOf(wire::CreateProbeRequest(builder, message.sequence, &target, gossip));
+}
+
+EncodedBody encode(Builder &builder, const NewsPush &message)
+{
+    return bodyOf(wire::CreateNewsPush(builder, encodeGossip(builder, message.gossip)));
+}
+
+EncodedBody encode(Builder &builder, const GrantMoved &message)
+{
+    const wire::GrantId id = toWire(message.id);
+    return bodyOf(wire::CreateGrantMoved(builder, &id));
+}
+
 template <typename Message>
 concept Encodable = requires(Builder &builder, const Message &message)
 {
--- a/currantreel/src/Shell/Daemon.cpp
+++ b/currantreel/src/Shell/Daemon.cpp
@@ -143,6 +143,11 @@
         m_callers.handle(effect);
 }
 
+void Daemon::handle(const ReconnectPeer &effect)
+{
+    m_peers.reconnect(effect.host, effect.address);
+}
+
 void Daemon::handle(const ConfigurationInForce &effect)
 {
     m_log.write("configuration_in_force", { { "version", std::to_string(effect.version) },
--- a/currantreel/src/Shell/Daemon.h
+++ b/currantreel/src/Shell/Daemon.h
@@ -28,6 +28,7 @@
     void stop();
     void handle(const StartAttempt &effect);
     void handle(const SendPeer &effect);
+    void handle(const ReconnectPeer &effect);
     void handle(const ConfigurationInForce &effect);
     void handle(const PatchRefused &effect);
     void handle(const WatchPlatform &effect);
--- a/currantreel/src/World/Counters.h
+++ b/currantreel/src/World/Counters.h
@@ -29,6 +29,9 @@
     std::uint64_t lateTokens = 0; ///< Tokens of answers after their target.
     std::uint64_t usefulTokens = 0; ///< Tokens of answers in time.
     std::array<std::uint64_t, tierCount> shed{};
+    std::uint64_t controlBytesSent = 0; ///< Messages of the membership, estimated.
+    std::uint64_t controlBytesReceived = 0;
+    std::uint64_t reconnects = 0; ///< New connections to silent hosts.
     Table<ClassCounters> classes;
 };
 
--- a/currantreel/src/World/Effect.h
+++ b/currantreel/src/World/Effect.h
@@ -118,6 +118,13 @@
     PeerMessage message;
 };
 
+/// Open a new connection to another host and use it: the present one is silent.
+struct ReconnectPeer
+{
+    HostId host;
+    Address address;
+};
+
 /// A configuration came into force.
 struct ConfigurationInForce
 {
@@ -154,10 +161,11 @@
 };
 
 /// Everything that a host does.
-using Effect = std::variant<StartAttempt, CancelAttempt, RelayAttempt, FinishReply, RefuseRequest,
-                            ForwardRequest, KeyIssued, KeyAssigned, KeyStateTold, KeepAnswer,
-                            ReplayAnswer, DropAnswer, CloseExchange, SendPeer, ConfigurationInForce,
-                            PatchRefused, WatchPlatform, ReadPlatform, ReadHostList, StopCompleted>;
+using Effect =
+    std::variant<StartAttempt, CancelAttempt, RelayAttempt, FinishReply, RefuseRequest,
+                 ForwardRequest, KeyIssued, KeyAssigned, KeyStateTold, KeepAnswer, ReplayAnswer,
+                 DropAnswer, CloseExchange, SendPeer, ReconnectPeer, ConfigurationInForce,
+                 PatchRefused, WatchPlatform, ReadPlatform, ReadHostList, StopCompleted>;
 
 using EffectList = std::vector<Effect>;
 
--- a/currantreel/src/World/EntrySystem.cpp
+++ b/currantreel/src/World/EntrySystem.cpp
@@ -258,6 +258,13 @@
         refuse(context, counters, keys, *row, message.code, Outcome::NotRun, message.retryAfter);
 }
 
+void EntrySystem::onMoved(StepContext &context, HostId owner, const GrantMoved &message)
+{
+    RequestRow *row = m_requests.find(message.id.request);
+    if (row && row->state == State::Waiting && row->owner == owner)
+        askForGrant(context, *row, BackendServerId());
+}
+
 void EntrySystem::onHostLost(StepContext &context, HostId host)
 {
     for (RequestRow &row : m_requests) {
--- a/currantreel/src/World/EntrySystem.h
+++ b/currantreel/src/World/EntrySystem.h
@@ -27,6 +27,8 @@
     /// @param owner host that sent the refusal.
     void onShed(StepContext &context, Counters &counters, KeySystem &keys, HostId owner,
                 const GrantShed &message);
+    /// Asks again: the host that queued the request no longer owns the servers.
+    void onMoved(StepContext &context, HostId owner, const GrantMoved &message);
     void onHead(StepContext &context, Counters &counters, KeySystem &keys,
                 const AttemptHead &event);
     void onTokens(StepContext &context, const AttemptTokens &event);
--- a/currantreel/src/World/PeerMessage.h
+++ b/currantreel/src/World/PeerMessage.h
@@ -3,14 +3,16 @@
 
 #include "../Admission/GrantMessages.h"
 #include "../Configuration/ConfigurationMessages.h"
+#include "../Membership/MembershipMessages.h"
 #include <variant>
 
 namespace currantreel {
 
 /// Everything that hosts say to each other, and that a host says to itself in another role.
-using PeerMessage = std::variant<GrantRequest, Granted, GrantShed, GrantWithdrawn, LeaseReleased,
-                                 LeaseRenewal, ConfigurationAnnounce, PatchRequest, PatchBatch,
-                                 SnapshotRequest, SnapshotPart, LeavingServers>;
+using PeerMessage =
+    std::variant<GrantRequest, Granted, GrantShed, GrantWithdrawn, LeaseReleased, LeaseRenewal,
+                 ConfigurationAnnounce, PatchRequest, PatchBatch, SnapshotRequest, SnapshotPart,
+                 LeavingServers, Probe, ProbeAck, ProbeRequest, NewsPush, GrantMoved>;
 
 } // namespace currantreel
 
--- a/currantreel/src/World/StepContext.h
+++ b/currantreel/src/World/StepContext.h
@@ -4,21 +4,12 @@
 #include "../Configuration/Configuration.h"
 #include "Effect.h"
 #include "HostEntry.h"
+#include "HostIdentity.h"
 #include <deque>
 #include <memory>
-#include <string>
 
 namespace currantreel {
 
-/// Who this host is.
-struct HostIdentity
-{
-    HostId id;
-    std::string name;
-    FailureDomainId failureDomain;
-    Incarnation incarnation;
-};
-
 /// A message on its way from this host in one role to a host in another.
 struct OutgoingMessage
 {
--- a/currantreel/src/World/World.cpp
+++ b/currantreel/src/World/World.cpp
@@ -6,7 +6,10 @@
 
 template <RoutingPolicy Policy>
 BasicWorld<Policy>::BasicWorld(HostIdentity self, const KeySecret &secret)
-    : m_entry(self.incarnation), m_keys(self, secret), m_configuration(self)
+    : m_entry(self.incarnation),
+      m_keys(self, secret),
+      m_configuration(self),
+      m_membership(self, self.id.value ^ self.incarnation.value)
 {
     m_context.self = std::move(self);
 }
@@ -18,10 +21,12 @@
     m_hasStepped = true;
     m_context.now = now;
     m_context.effects.clear();
+    m_membership.advance(now);
     for (const Event &event : events) {
         std::visit([this](const auto &one) { this->apply(one); }, event);
         deliver();
     }
+    runMembership();
     if (m_configuration.run(m_context))
         m_owner.configure(m_context);
     deliver();
@@ -51,8 +56,67 @@
 template <RoutingPolicy Policy>
 void BasicWorld<Policy>::sendToPeer(const OutgoingMessage &outgoing)
 {
-    if (const HostEntry *host = m_context.hosts.find(outgoing.to))
-        m_context.emit(SendPeer{ host->id, host->peers, outgoing.message });
+    const Member *member = m_membership.members().find(outgoing.to);
+    if (member)
+        m_context.emit(SendPeer{ member->id, member->entry.peers, outgoing.message });
+}
+
+template <RoutingPolicy Policy>
+template <MembershipMessage Message>
+void BasicWorld<Policy>::receive(HostId from, const Message &message)
+{
+    m_counters.controlBytesReceived += wireSize(message);
+    m_membership.receive(from, message);
+}
+
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::sendMembership(const MembershipOutgoing &outgoing)
+{
+    const Member *member = m_membership.members().find(outgoing.to);
+    if (!member)
+        return;
+    std::visit(
+        [&](const auto &message) {
+            m_counters.controlBytesSent += wireSize(message);
+            m_context.emit(SendPeer{ member->id, member->entry.peers, message });
+        },
+        outgoing.message);
+}
+
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::runMembership()
+{
+    m_membership.carried().configuration =
+        ConfigurationNews{ m_context.configuration->version, m_context.configuration->digest };
+    m_membership.run();
+    syncHosts();
+    for (const MembershipOutgoing &outgoing : m_membership.takeMessages())
+        sendMembership(outgoing);
+    for (const HostId silent : m_membership.takeReconnects()) {
+        const HostEntry *host = m_context.hosts.find(silent);
+        if (!host)
+            continue;
+        ++m_counters.reconnects;
+        m_context.emit(ReconnectPeer{ host->id, host->peers });
+    }
+}
+
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::syncHosts()
+{
+    if (m_syncedRevision == m_membership.revision())
+        return;
+    m_syncedRevision = m_membership.revision();
+    m_context.hosts.removeIf([this](const HostEntry &host) {
+        const Member *member = m_membership.members().find(host.id);
+        return !member || member->state == MemberState::Dead;
+    });
+    for (const Member &member : m_membership.members()) {
+        if (member.state == MemberState::Dead)
+            continue;
+        HostEntry &host = m_context.hosts.insert(member.entry);
+        host.liveness = member.isInService() ? Liveness::Live : Liveness::Leaving;
+    }
 }
 
 template <RoutingPolicy Policy>
@@ -143,8 +207,8 @@
 void BasicWorld<Policy>::apply(const HostListRead &event)
 {
     m_hasHostList = true;
-    for (const HostEntry &host : event.hosts)
-        m_context.hosts.insert(host);
+    m_membership.updateList(event.hosts);
+    syncHosts();
     m_owner.updateLiveness(event.backendServers);
     m_configuration.onHostList(m_context, event);
 }
@@ -171,6 +235,7 @@
 void BasicWorld<Policy>::apply(const StopOrdered & /*event*/)
 {
     m_isStopping = true;
+    m_membership.leave();
 }
 
 template <RoutingPolicy Policy>
@@ -248,6 +313,12 @@
     m_owner.updateLiveness(entries);
 }
 
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::receive(HostId from, const GrantMoved &message)
+{
+    m_entry.onMoved(m_context, from, message);
+}
+
 template class BasicWorld<TieredPolicy>;
 template class BasicWorld<FifoPolicy>;
 template class BasicWorld<RoundRobinPolicy>;
--- a/currantreel/src/World/World.h
+++ b/currantreel/src/World/World.h
@@ -1,6 +1,7 @@
 #ifndef CURRANTREEL_WORLD_WORLD_H
 #define CURRANTREEL_WORLD_WORLD_H
 
+#include "../Membership/Membership.h"
 #include "ConfigurationSystem.h"
 #include "Counters.h"
 #include "Effect.h"
@@ -33,6 +34,7 @@
     [[nodiscard]] const ConfigurationSystem &configurationSystem() const { return m_configuration; }
     [[nodiscard]] std::size_t requestsInProgress() const { return m_entry.size(); }
     [[nodiscard]] std::size_t keysInUse() const { return m_keys.size(); }
+    [[nodiscard]] const Membership &membership() const { return m_membership; }
     [[nodiscard]] bool isStopping() const { return m_isStopping; }
     /// True if @p host is in the list of hosts.
     [[nodiscard]] bool knows(HostId host) const { return m_context.hosts.find(host) != nullptr; }
@@ -73,7 +75,13 @@
     void receive(HostId from, const SnapshotRequest &message);
     void receive(HostId from, const SnapshotPart &message);
     void receive(HostId from, const LeavingServers &message);
+    void receive(HostId from, const GrantMoved &message);
+    template <MembershipMessage Message>
+    void receive(HostId from, const Message &message);
 
+    void runMembership();
+    void sendMembership(const MembershipOutgoing &outgoing);
+    void syncHosts();
     void deliver();
     void sendToPeer(const OutgoingMessage &outgoing);
     void reportStop();
@@ -84,6 +92,8 @@
     OwnerSystem<Policy> m_owner;
     KeySystem m_keys;
     ConfigurationSystem m_configuration;
+    Membership m_membership;
+    std::uint64_t m_syncedRevision = 0; ///< Of the membership, as the hosts table has it.
     bool m_hasHostList = false;
     bool m_hasStepped = false;
     bool m_isStopping = false;
--- a/test/PeerCodecTest.cpp
+++ b/test/PeerCodecTest.cpp
@@ -31,6 +31,22 @@
     renewal.entry = HostId{ 11 };
     renewal.items = { { id, LeaseId{ 1 }, BackendServerId{ 2 }, 1 },
                       { id, LeaseId{ 3 }, BackendServerId{ 4 }, 4 } };
+    Gossip gossip;
+    const MemberVersion version{ Incarnation{ 1U << 20U }, 3 };
+    gossip.sender = version;
+    gossip.isLeaving = true;
+    gossip.news = { MemberNews{ HostId{ 5 }, version, MemberState::Dead } };
+    HostEntry host;
+    host.name = "edirne-a-1";
+    host.id = HostId::ofName(host.name);
+    host.failureDomain = FailureDomainId{ 6 };
+    host.callers = Address{ "10.0.0.1", 8000 };
+    host.peers = Address{ "10.0.0.1", 9000 };
+    host.liveness = Liveness::Leaving;
+    gossip.introductions = { Introduction{ host, version } };
+    gossip.configuration = ConfigurationNews{ 7, "digest" };
+    gossip.ownLoads = { TargetLoad{ TargetId{ 8 }, 16, 9, { 1, 2, 3, 4, 5 } } };
+    gossip.domainLoads = { DomainLoad{ FailureDomainId{ 6 }, Duration(4), gossip.ownLoads[0] } };
     return {
         request,
         Granted{ id, LeaseId{ 1 }, BackendServerId{ 2 }, std::chrono::seconds(3) },
@@ -45,6 +61,11 @@
         SnapshotRequest{ 11, 12 },
         SnapshotPart{ 13, 30, 14, "part" },
         LeavingServers{ { BackendServerId{ 15 }, BackendServerId{ 16 } } },
+        Probe{ 21, gossip },
+        ProbeAck{ 22, HostId{ 5 }, version, gossip },
+        ProbeRequest{ 23, gossip.news[0], gossip },
+        NewsPush{ gossip },
+        GrantMoved{ id },
     };
 }
 
@@ -153,3 +174,20 @@
     other.host = HostId{ 3 };
     CHECK_FALSE(isProven(proof, secret, other, challenge, LinkSide::Dialer));
 }
+
+TEST_CASE("the estimate of a membership message is not below its frame")
+{
+    Gossip gossip;
+    gossip.sender = MemberVersion{ Incarnation{ 1U << 20U }, 3 };
+    gossip.configuration = ConfigurationNews{ 7, std::string(64, 'd') };
+    const auto check = [](const auto &message) {
+        const std::size_t size = encoded(message).size();
+        MESSAGE(size << " bytes, estimated " << wireSize(message));
+        CHECK(size <= wireSize(message));
+    };
+    check(Probe{ 21, gossip });
+    check(ProbeAck{ 22, HostId{ 5 }, gossip.sender, gossip });
+    gossip.news.resize(8, MemberNews{ HostId{ 5 }, gossip.sender, MemberState::Dead });
+    gossip.ownLoads.resize(4, TargetLoad{ TargetId{ 8 }, 16, 9, {} });
+    check(Probe{ 21, gossip });
+}
