Ownership: one owner a backend server, takeover, and the entry's choice of owner

Cause: every host of a failure domain granted all slots of its servers, so engines refused work and requests were tried again; a dead host's queue was lost to its callers.

Change: each host computes the owner of each server by rendezvous over the hosts in service. A failure domain without hosts is served by the next one by name after 5 s, unless this host takes itself for cut off. On change the old owner tells entries to ask again, entries renew leases at the new owner, which counts what runs and grants half the slots for one lease period. While cut off, a host grants its share of its failure domain's slots. The entry asks an owner of its own failure domain, of two drawn the less loaded one, and another failure domain when a whole round waits here and free slots are told from there. Baselines that grant at the entry own locally.

Virtual time with three worlds: takeover within 3 s of a kill, each request started once or refused as not run. Two hosts cut off from each other run 2 requests on 2 slots, because each grants its share.

--- a/currantreel/src/World/EntryAttempts.cpp
+++ b/currantreel/src/World/EntryAttempts.cpp
@@ -176,7 +176,10 @@
         return;
     m_renewedAt = context.now;
     std::map<HostId, LeaseRenewal> renewals;
-    for (const AttemptRow &attempt : m_attempts) {
+    for (AttemptRow &attempt : m_attempts) {
+        // After a takeover the new owner counts what runs.
+        const HostId owner = context.ownership.ownerOf(attempt.server);
+        attempt.owner = owner.isValid() ? owner : attempt.owner;
         LeaseRenewal &renewal = renewals[attempt.owner];
         renewal.entry = context.self.id;
         renewal.items.push_back({ attempt.grant, attempt.lease, attempt.server, attempt.tier });
--- a/currantreel/src/World/EntrySystem.cpp
+++ b/currantreel/src/World/EntrySystem.cpp
@@ -1,5 +1,6 @@
 #include "EntrySystem.h"
 
+#include "../Ownership/Targets.h"
 #include "OwnerSystem.h"
 #include "Timing.h"
 #include <algorithm>
@@ -145,20 +146,14 @@
     askForGrant(context, m_requests.insert(row), BackendServerId());
 }
 
-HostId EntrySystem::ownerOf(const StepContext &context, TargetId target)
+HostId EntrySystem::ownerFor(StepContext &context, const RequestRow &row, Tier tier)
 {
-    HostId elsewhere = context.self.id;
-    for (const BackendServer &server : context.configuration->backendServers) {
-        if (!canServe(server, target))
-            continue;
-        if (server.failureDomain == context.self.failureDomain)
-            return context.self.id;
-        for (const HostEntry &host : context.hosts) {
-            if (host.failureDomain == server.failureDomain && host.liveness == Liveness::Live)
-                elsewhere = host.id;
-        }
-    }
-    return elsewhere;
+    // Who did not answer is asked again only if there is no other.
+    const bool isSilent =
+        row.owner.isValid() && context.now - row.askedAt > timing::grantSilenceLimit;
+    const HostId avoid = isSilent ? row.owner : HostId();
+    const HostId owner = context.router.choose(context.now, row.target, tier, avoid);
+    return owner.isValid() ? owner : context.self.id;
 }
 
 void EntrySystem::askForGrant(StepContext &context, RequestRow &row, BackendServerId avoid)
@@ -182,7 +177,7 @@
         request.isWorthlessWhenLate = requestClass->late == LateRule::Worthless;
         request.isPreemptible = requestClass->isPreemptible;
     }
-    row.owner = ownerOf(context, row.target);
+    row.owner = ownerFor(context, row, request.tier);
     row.askedAt = context.now;
     context.send(row.owner, request);
 }
--- a/currantreel/src/World/EntrySystem.h
+++ b/currantreel/src/World/EntrySystem.h
@@ -105,7 +105,7 @@
                       const BackendServer &server, const Granted &message);
     void askAgain(StepContext &context);
     /// This host if its failure domain can serve @p target, else a live host of one that can.
-    static HostId ownerOf(const StepContext &context, TargetId target);
+    static HostId ownerFor(StepContext &context, const RequestRow &row, Tier tier);
     void askForGrant(StepContext &context, RequestRow &row, BackendServerId avoid);
     void withdraw(StepContext &context, const RequestRow &row);
     void finishKey(StepContext &context, KeySystem &keys, KeyId key, RequestId runner,
--- a/currantreel/src/World/OwnerSystem.cpp
+++ b/currantreel/src/World/OwnerSystem.cpp
@@ -1,5 +1,6 @@
 #include "OwnerSystem.h"
 
+#include "../Ownership/Targets.h"
 #include "Timing.h"
 #include <algorithm>
 
@@ -7,44 +8,46 @@
 
 namespace {
 
-constexpr std::uint64_t serviceTargetSalt = 0x5EBF1CE5ULL;
-
-std::vector<TargetId> targetsOf(const BackendServer &server)
+/// Waiting requests by tier; a queue that knows no tiers counts as one of the highest.
+template <typename Queue>
+std::array<std::uint32_t, tierCount> waitingByTier(const Queue &queue)
 {
-    if (server.kind == BackendKind::Service)
-        return { targetOfService(server.service) };
-    std::vector<TargetId> targets;
-    for (const ModelId model : server.models)
-        targets.push_back(targetOfModel(model));
-    return targets;
+    std::array<std::uint32_t, tierCount> waiting{};
+    if constexpr (requires { queue.sizeUpTo(Tier()); }) {
+        std::size_t before = 0;
+        for (Tier tier = 0; tier < tierCount; ++tier) {
+            const std::size_t upTo = queue.sizeUpTo(tier);
+            waiting.at(tier) = static_cast<std::uint32_t>(upTo - before);
+            before = upTo;
+        }
+    } else {
+        waiting.front() = static_cast<std::uint32_t>(queue.size());
+    }
+    return waiting;
 }
 
 } // namespace
 
-TargetId targetOfModel(ModelId model)
-{
-    return TargetId{ model.value };
-}
-
-TargetId targetOfService(ServiceId service)
-{
-    return TargetId{ service.value ^ serviceTargetSalt };
-}
-
 template <RoutingPolicy Policy>
 void OwnerSystem<Policy>::configure(const StepContext &context)
 {
+    // Leases of different owners must not be taken for each other after a takeover.
+    if (m_nextLease == 0)
+        m_nextLease = context.self.id.value ^ context.self.incarnation.value;
     const Configuration &configuration = *context.configuration;
-    m_servers.removeIf(
-        [&](const ServerRow &row) { return !configuration.backendServers.find(row.id); });
+    m_servers.removeIf([&](const ServerRow &row) {
+        const BackendServer *server = configuration.backendServers.find(row.id);
+        return !server || context.ownership.ownSlots(*server) == 0;
+    });
     for (const BackendServer &server : configuration.backendServers) {
-        if (server.failureDomain != context.self.failureDomain)
+        const std::uint32_t slots = context.ownership.ownSlots(server);
+        if (slots == 0)
             continue;
         ServerRow *known = m_servers.find(server.id);
         ServerRow &row =
             known ? *known : m_servers.insert(ServerRow{ server.id, {}, 0, 0, false, {} });
         row.targets = targetsOf(server);
-        row.slots = server.slots;
+        row.slots = slots;
         row.isLeaving = m_leaving.contains(server.id);
     }
 }
@@ -117,11 +120,60 @@
 void OwnerSystem<Policy>::onRenewal(const StepContext &context, const LeaseRenewal &message)
 {
     for (const LeaseRenewal::Item &item : message.items) {
-        if (LeaseRow *lease = m_leases.find(item.lease))
+        LeaseRow *lease = m_leases.find(item.lease);
+        if (!lease) {
+            adopt(item);
+            lease = m_leases.find(item.lease);
+        }
+        if (lease)
             lease->expires = context.now + timing::leasePeriod;
     }
 }
 
+template <RoutingPolicy Policy>
+void OwnerSystem<Policy>::adopt(const LeaseRenewal::Item &item)
+{
+    ServerRow *server = m_servers.find(item.server);
+    if (!server)
+        return;
+    ++server->inFlight;
+    m_leases.insert(LeaseRow{ item.lease, item.id, item.server, TimePoint() });
+}
+
+template <RoutingPolicy Policy>
+void OwnerSystem<Policy>::moveUnowned(StepContext &context)
+{
+    for (auto &[target, queue] : m_queues) {
+        if (hasServer(target) || !context.router.hasOwner(target))
+            continue;
+        while (const auto moved = queue.pop(context.now))
+            context.send(moved->request.id.entry, GrantMoved{ moved->request.id });
+    }
+}
+
+template <RoutingPolicy Policy>
+std::vector<TargetLoad> OwnerSystem<Policy>::loads() const
+{
+    std::map<TargetId, TargetLoad> loads;
+    for (const ServerRow &row : m_servers) {
+        for (const TargetId target : row.targets) {
+            TargetLoad &load = loads[target];
+            load.target = target;
+            if (row.isLeaving)
+                continue;
+            load.slots += row.slots;
+            load.freeSlots += row.slots - std::min(row.slots, row.inFlight);
+        }
+    }
+    std::vector<TargetLoad> list;
+    for (auto &[target, load] : loads) {
+        if (const auto queue = m_queues.find(target); queue != m_queues.end())
+            load.queued = waitingByTier(queue->second);
+        list.push_back(load);
+    }
+    return list;
+}
+
 template <RoutingPolicy Policy>
 void OwnerSystem<Policy>::endLease(LeaseId lease)
 {
--- a/currantreel/src/World/OwnerSystem.h
+++ b/currantreel/src/World/OwnerSystem.h
@@ -10,11 +10,6 @@
 
 namespace currantreel {
 
-/// Identifier of what model @p name needs.
-[[nodiscard]] TargetId targetOfModel(ModelId model);
-/// Identifier of what service @p name needs.
-[[nodiscard]] TargetId targetOfService(ServiceId service);
-
 /// Owner role: queues the requests for the backend servers this host owns and grants their slots.
 /// @tparam Policy decides who is granted next and on which server.
 template <RoutingPolicy Policy>
@@ -35,6 +30,12 @@
     /// Grants free slots, sheds what waited too long, ends leases that were not renewed.
     void run(StepContext &context, Counters &counters);
 
+    /// Tells entries whose requests wait for servers that this host no longer owns to ask again.
+    void moveUnowned(StepContext &context);
+
+    /// Load of the owned servers, by target.
+    [[nodiscard]] std::vector<TargetLoad> loads() const;
+
     /// Requests that wait for a grant.
     [[nodiscard]] std::size_t queued() const;
     /// Leases in use on @p server.
@@ -68,6 +69,8 @@
                                                            TargetId target) const;
     [[nodiscard]] bool hasServer(TargetId target) const;
     Queue &queueOf(const StepContext &context, TargetId target);
+    /// Counts a lease that an earlier owner gave.
+    void adopt(const LeaseRenewal::Item &item);
     void endLease(LeaseId lease);
     void expireLeases(TimePoint now);
 
@@ -76,7 +79,7 @@
     Table<ServerRow> m_servers;
     Table<LeaseRow> m_leases;
     std::set<BackendServerId> m_leaving;
-    std::uint64_t m_nextLease = 1;
+    std::uint64_t m_nextLease = 0;
 };
 
 extern template class OwnerSystem<TieredPolicy>;
--- a/currantreel/src/World/StepContext.h
+++ b/currantreel/src/World/StepContext.h
@@ -2,6 +2,8 @@
 #define CURRANTREEL_WORLD_STEPCONTEXT_H
 
 #include "../Configuration/Configuration.h"
+#include "../Ownership/Ownership.h"
+#include "../Ownership/Router.h"
 #include "Effect.h"
 #include "HostEntry.h"
 #include "HostIdentity.h"
@@ -24,6 +26,8 @@
     TimePoint now;
     bool isAfterPause = false; ///< No step for longer than a lease lasts: news may be as old.
     std::shared_ptr<const Configuration> configuration = std::make_shared<Configuration>();
+    Ownership ownership;
+    Router router;
     Table<HostEntry> hosts; ///< Every host of ours that is known.
     EffectList effects;
     std::deque<OutgoingMessage> outbox;
--- a/currantreel/src/World/Timing.h
+++ b/currantreel/src/World/Timing.h
@@ -12,6 +12,8 @@
 inline constexpr Duration leasePeriod = 3s;
 /// Time between two renewals of a lease.
 inline constexpr Duration leaseRenewalInterval = 1s;
+/// Time between two looks at the load of owned servers.
+inline constexpr Duration loadInterval = 100ms;
 /// Longest time between ticks.
 inline constexpr Duration tickInterval = 20ms;
 /// Longest silence of another host that was asked for a grant. No longer than a lease, so that a grant
--- a/currantreel/src/World/World.cpp
+++ b/currantreel/src/World/World.cpp
@@ -12,6 +12,8 @@
       m_membership(self, self.id.value ^ self.incarnation.value)
 {
     m_context.self = std::move(self);
+    if constexpr (Policy::grantPlace == GrantPlace::Entry)
+        m_context.ownership.grantLocally();
 }
 
 template <RoutingPolicy Policy>
@@ -27,8 +29,9 @@
         deliver();
     }
     runMembership();
-    if (m_configuration.run(m_context))
-        m_owner.configure(m_context);
+    m_configuration.run(m_context);
+    updateOwnership();
+    tellLoads();
     deliver();
     m_entry.run(m_context, m_counters, m_keys);
     deliver();
@@ -67,6 +70,60 @@
 {
     m_counters.controlBytesReceived += wireSize(message);
     m_membership.receive(from, message);
+    if (!m_membership.members().find(from))
+        return;
+    for (const TargetLoad &load : message.gossip.ownLoads)
+        m_context.router.learn(m_context.now, from, load);
+    for (const DomainLoad &load : message.gossip.domainLoads)
+        m_context.router.learn(m_context.now, load);
+}
+
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::updateOwnership()
+{
+    const bool isChanged = m_context.ownership.update(m_context.now, m_context.self, m_membership,
+                                                      *m_context.configuration);
+    if (isChanged) {
+        m_context.router.update(m_context.self, m_context.ownership, *m_context.configuration);
+        m_owner.configure(m_context);
+        m_owner.moveUnowned(m_context);
+    }
+    reportLostHosts();
+}
+
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::reportLostHosts()
+{
+    if (m_reportedRevision == m_membership.revision())
+        return;
+    m_reportedRevision = m_membership.revision();
+    std::map<HostId, Incarnation> present;
+    for (const Member &member : m_membership.members()) {
+        if (member.isInService())
+            present[member.id] = member.version.incarnation;
+    }
+    for (const auto &[host, incarnation] : m_present) {
+        const auto now = present.find(host);
+        const bool isRestarted =
+            now != present.end() && incarnation.isValid() && now->second != incarnation;
+        // A queue does not survive its host.
+        if (now == present.end() || isRestarted)
+            m_entry.onHostLost(m_context, host);
+    }
+    m_present = std::move(present);
+}
+
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::tellLoads()
+{
+    if (m_context.now - m_loadsAt < timing::loadInterval)
+        return;
+    m_loadsAt = m_context.now;
+    Gossip &carried = m_membership.carried();
+    carried.ownLoads = m_owner.loads();
+    for (const TargetLoad &load : carried.ownLoads)
+        m_context.router.learn(m_context.now, m_context.self.id, load);
+    carried.domainLoads = m_context.router.ownDomainLoads(m_context.now);
 }
 
 template <RoutingPolicy Policy>
@@ -199,7 +256,7 @@
         return;
     m_context.configuration = event.configuration;
     m_configuration.skipCatchUp();
-    m_owner.configure(m_context);
+    updateOwnership();
     m_context.emit(ConfigurationInForce{ event.configuration->version });
 }
 
--- a/currantreel/src/World/World.h
+++ b/currantreel/src/World/World.h
@@ -34,6 +34,7 @@
     [[nodiscard]] const ConfigurationSystem &configurationSystem() const { return m_configuration; }
     [[nodiscard]] std::size_t requestsInProgress() const { return m_entry.size(); }
     [[nodiscard]] std::size_t keysInUse() const { return m_keys.size(); }
+    [[nodiscard]] const Ownership &ownership() const { return m_context.ownership; }
     [[nodiscard]] const Membership &membership() const { return m_membership; }
     [[nodiscard]] bool isStopping() const { return m_isStopping; }
     /// True if @p host is in the list of hosts.
@@ -82,6 +83,11 @@
     void runMembership();
     void sendMembership(const MembershipOutgoing &outgoing);
     void syncHosts();
+    /// Takes over who owns what, and passes on what waits for servers of others.
+    void updateOwnership();
+    /// Has requests asked again that wait at hosts which are gone.
+    void reportLostHosts();
+    void tellLoads();
     void deliver();
     void sendToPeer(const OutgoingMessage &outgoing);
     void reportStop();
@@ -93,6 +99,9 @@
     KeySystem m_keys;
     ConfigurationSystem m_configuration;
     Membership m_membership;
+    std::map<HostId, Incarnation> m_present; ///< Hosts in service, as last reported.
+    std::uint64_t m_reportedRevision = 0;
+    TimePoint m_loadsAt;
     std::uint64_t m_syncedRevision = 0; ///< Of the membership, as the hosts table has it.
     bool m_hasHostList = false;
     bool m_hasStepped = false;
