--- a/bench/GrantCost.cpp
+++ b/bench/GrantCost.cpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <currantreel/World>
+#include <currantreel/src/Ownership/Targets.h>
 #include <fmt/format.h>
 #include <random>
 
--- a/currantreel/src/World/EntryPreemption.cpp
+++ b/currantreel/src/World/EntryPreemption.cpp
@@ -14,7 +14,11 @@
     // What the caller has begun to receive must come from one run.
     if (!mayRepeat || !requestClass->isPreemptible || found->isRelayed)
         return;
-    cancel(context, counters, *found);
+    if (row->isHedgeAsked)
+        withdraw(context, *row);
+    row->isHedgeAsked = false;
+    cancelAll(context, counters.cancelledTokens, *row);
+    row->hedge = AttemptId();
     row->state = State::Waiting;
     row->attempt = AttemptId();
     row->wasPreempted = true;
--- a/currantreel/src/World/EntrySystem.cpp
+++ b/currantreel/src/World/EntrySystem.cpp
@@ -1,5 +1,6 @@
 #include "EntrySystem.h"
 
+#include "../Ownership/Targets.h"
 #include "OwnerSystem.h"
 #include "Timing.h"
 #include <algorithm>
@@ -150,20 +151,14 @@
     askForGrant(context, m_requests.insert(row), BackendServerId());
 }
 
-HostId EntrySystem::ownerOf(const StepContext &context, TargetId target)
+HostId EntrySystem::ownerFor(StepContext &context, const RequestRow &row, Tier tier)
 {
-    HostId elsewhere = context.self.id;
-    for (const BackendServer &server : context.configuration->backendServers) {
-        if (!canServe(server, target))
-            continue;
-        if (server.failureDomain == context.self.failureDomain)
-            return context.self.id;
-        for (const HostEntry &host : context.hosts) {
-            if (host.failureDomain == server.failureDomain && host.liveness == Liveness::Live)
-                elsewhere = host.id;
-        }
-    }
-    return elsewhere;
+    // Who did not answer is asked again only if there is no other.
+    const bool isSilent =
+        row.owner.isValid() && context.now - row.askedAt > timing::grantSilenceLimit;
+    const HostId avoid = isSilent ? row.owner : HostId();
+    const HostId owner = context.router.choose(context.now, row.target, tier, avoid);
+    return owner.isValid() ? owner : context.self.id;
 }
 
 void EntrySystem::askForGrant(StepContext &context, RequestRow &row, BackendServerId avoid)
@@ -193,7 +188,7 @@
         request.queueBound = timing::hedgeQueueBound;
         request.isPreemptible = false;
     }
-    row.owner = ownerOf(context, row.target);
+    row.owner = ownerFor(context, row, request.tier);
     row.askedAt = context.now;
     context.send(row.owner, request);
 }
@@ -276,6 +271,13 @@
         refuse(context, counters, keys, *row, message.code, Outcome::NotRun, message.retryAfter);
 }
 
+void EntrySystem::onMoved(StepContext &context, HostId owner, const GrantMoved &message)
+{
+    RequestRow *row = m_requests.find(message.id.request);
+    if (row && row->state == State::Waiting && row->owner == owner)
+        askForGrant(context, *row, BackendServerId());
+}
+
 void EntrySystem::onHostLost(StepContext &context, HostId host)
 {
     for (RequestRow &row : m_requests) {
--- a/currantreel/src/World/EntrySystem.h
+++ b/currantreel/src/World/EntrySystem.h
@@ -33,6 +33,8 @@
     /// Frees the slot of a preempted lease and queues the request again, if its class allows and the
     /// caller has received nothing yet.
     void onPreempted(StepContext &context, Counters &counters, const LeasePreempted &message);
+    /// Asks again: the host that queued the request no longer owns the servers.
+    void onMoved(StepContext &context, HostId owner, const GrantMoved &message);
     void onHead(StepContext &context, Counters &counters, KeySystem &keys,
                 const AttemptHead &event);
     void onTokens(StepContext &context, const AttemptTokens &event);
@@ -129,7 +131,7 @@
                       const BackendServer &server, const Granted &message);
     void askAgain(StepContext &context);
     /// This host if its failure domain can serve @p target, else a live host of one that can.
-    static HostId ownerOf(const StepContext &context, TargetId target);
+    static HostId ownerFor(StepContext &context, const RequestRow &row, Tier tier);
     void askForGrant(StepContext &context, RequestRow &row, BackendServerId avoid);
     void withdraw(StepContext &context, const RequestRow &row);
     void finishKey(StepContext &context, KeySystem &keys, KeyId key, RequestId runner,
--- a/currantreel/src/World/OwnerSystem.cpp
+++ b/currantreel/src/World/OwnerSystem.cpp
@@ -1,5 +1,6 @@
 #include "OwnerSystem.h"
 
+#include "../Ownership/Targets.h"
 #include "Timing.h"
 #include <algorithm>
 
@@ -7,8 +8,6 @@
 
 namespace {
 
-constexpr std::uint64_t serviceTargetSalt = 0x5EBF1CE5ULL;
-
 /// Bounds of the advice to a caller who was shed.
 constexpr Duration shortestRetryAfter = std::chrono::milliseconds(100);
 constexpr Duration longestRetryAfter = std::chrono::minutes(1);
@@ -16,14 +15,22 @@
 /// Time after which a preempted lease that was not released is no longer waited for.
 constexpr Duration preemptionTimeout = std::chrono::milliseconds(200);
 
-std::vector<TargetId> targetsOf(const BackendServer &server)
+/// Waiting requests by tier; a queue that knows no tiers counts as one of the highest.
+template <typename Queue>
+std::array<std::uint32_t, tierCount> waitingByTier(const Queue &queue)
 {
-    if (server.kind == BackendKind::Service)
-        return { targetOfService(server.service) };
-    std::vector<TargetId> targets;
-    for (const ModelId model : server.models)
-        targets.push_back(targetOfModel(model));
-    return targets;
+    std::array<std::uint32_t, tierCount> waiting{};
+    if constexpr (requires { queue.sizeUpTo(Tier()); }) {
+        std::size_t before = 0;
+        for (Tier tier = 0; tier < tierCount; ++tier) {
+            const std::size_t upTo = queue.sizeUpTo(tier);
+            waiting.at(tier) = static_cast<std::uint32_t>(upTo - before);
+            before = upTo;
+        }
+    } else {
+        waiting.front() = static_cast<std::uint32_t>(queue.size());
+    }
+    return waiting;
 }
 
 std::uint64_t memoryOf(const GrantRequest &request)
@@ -33,22 +40,17 @@
 
 } // namespace
 
-TargetId targetOfModel(ModelId model)
-{
-    return TargetId{ model.value };
-}
-
-TargetId targetOfService(ServiceId service)
-{
-    return TargetId{ service.value ^ serviceTargetSalt };
-}
-
 template <RoutingPolicy Policy>
 void OwnerSystem<Policy>::configure(const StepContext &context)
 {
+    // Leases of different owners must not be taken for each other after a takeover.
+    if (m_nextLease == 0)
+        m_nextLease = context.self.id.value ^ context.self.incarnation.value;
     for (const BackendServer &server : context.configuration->backendServers) {
-        if (server.failureDomain == context.self.failureDomain)
-            m_pool.declare(server, targetsOf(server));
+        BackendServer owned = server;
+        owned.slots = context.ownership.ownSlots(server);
+        if (owned.slots > 0)
+            m_pool.declare(owned, targetsOf(server));
     }
     m_pool.removeUndeclared();
     m_pool.setLeaving(m_leaving);
@@ -199,6 +201,9 @@
     if (!lease)
         return;
     endLease(*lease);
+    // What an earlier owner granted is known too little to learn from.
+    if (!lease->target.isValid())
+        return;
     if constexpr (MeasuredGrantQueue<Queue>) {
         m_pool.learn(context.now, { lease->server, message.end, message.firstToken,
                                     message.interToken, lease->firstTokenTarget });
@@ -218,8 +223,54 @@
 template <RoutingPolicy Policy>
 void OwnerSystem<Policy>::onRenewal(const StepContext &context, const LeaseRenewal &message)
 {
-    for (const LeaseRenewal::Item &item : message.items)
-        m_leases.renew(item.lease, context.now + timing::leasePeriod);
+    for (const LeaseRenewal::Item &item : message.items) {
+        if (!m_leases.renew(item.lease, context.now + timing::leasePeriod))
+            adopt(context, item);
+    }
+}
+
+template <RoutingPolicy Policy>
+void OwnerSystem<Policy>::adopt(const StepContext &context, const LeaseRenewal::Item &item)
+{
+    if (!m_pool.contains(item.server))
+        return;
+    Lease lease;
+    lease.id = item.lease;
+    lease.grant = item.id;
+    lease.server = item.server;
+    lease.tier = item.tier;
+    lease.grantedAt = context.now;
+    lease.expires = context.now + timing::leasePeriod;
+    m_leases.add(lease);
+    m_pool.acquire(item.server, lease.tokens);
+}
+
+template <RoutingPolicy Policy>
+void OwnerSystem<Policy>::moveUnowned(StepContext &context)
+{
+    for (auto target = m_waiting.begin(); target != m_waiting.end();) {
+        if (m_pool.hasServer(*target) || !context.router.hasOwner(*target)) {
+            ++target;
+            continue;
+        }
+        Queue &queue = m_states.at(*target).queue;
+        while (const auto moved = queue.pop(context.now)) {
+            m_targetOf.erase(moved->request.id);
+            context.send(moved->request.id.entry, GrantMoved{ moved->request.id });
+        }
+        target = m_waiting.erase(target);
+    }
+}
+
+template <RoutingPolicy Policy>
+std::vector<TargetLoad> OwnerSystem<Policy>::loads() const
+{
+    std::vector<TargetLoad> list = m_pool.loads();
+    for (TargetLoad &load : list) {
+        if (const auto state = m_states.find(load.target); state != m_states.end())
+            load.queued = waitingByTier(state->second.queue);
+    }
+    return list;
 }
 
 template <RoutingPolicy Policy>
--- a/currantreel/src/World/OwnerSystem.h
+++ b/currantreel/src/World/OwnerSystem.h
@@ -16,11 +16,6 @@
 
 namespace currantreel {
 
-/// Identifier of what model @p name needs.
-[[nodiscard]] TargetId targetOfModel(ModelId model);
-/// Identifier of what service @p name needs.
-[[nodiscard]] TargetId targetOfService(ServiceId service);
-
 /// Owner role: queues the requests for the backend servers this host owns and grants their slots.
 /// @tparam Policy decides who is granted next and on which server.
 template <RoutingPolicy Policy>
@@ -41,6 +36,12 @@
     /// Grants free slots, sheds what waited too long, ends leases that were not renewed.
     void run(StepContext &context, Counters &counters);
 
+    /// Tells entries whose requests wait for servers that this host no longer owns to ask again.
+    void moveUnowned(StepContext &context);
+
+    /// Load of the owned servers, by target.
+    [[nodiscard]] std::vector<TargetLoad> loads() const;
+
     /// Requests that wait for a grant.
     [[nodiscard]] std::size_t queued() const { return m_targetOf.size(); }
     /// Leases in use on @p server.
@@ -87,6 +88,8 @@
     void preempt(StepContext &context, TargetState &state, TargetId target);
     void endLease(const Lease &lease);
     void runTarget(StepContext &context, Counters &counters, TargetId target);
+    /// Counts a lease that an earlier owner gave.
+    void adopt(const StepContext &context, const LeaseRenewal::Item &item);
 
     std::map<TargetId, TargetState> m_states;
     std::unordered_map<GrantId, TargetId> m_targetOf; ///< Of every request that waits.
@@ -97,7 +100,7 @@
     AnswerLengths m_lengths;
     std::unordered_map<ClassId, MovingAverage> m_firstToken; ///< From grant to first token.
     std::set<BackendServerId> m_leaving;
-    std::uint64_t m_nextLease = 1;
+    std::uint64_t m_nextLease = 0;
 };
 
 extern template class OwnerSystem<TieredPolicy>;
--- a/currantreel/src/World/PeerMessage.h
+++ b/currantreel/src/World/PeerMessage.h
@@ -3,6 +3,7 @@
 
 #include "../Admission/GrantMessages.h"
 #include "../Configuration/ConfigurationMessages.h"
+#include "../Membership/MembershipMessages.h"
 #include <variant>
 
 namespace currantreel {
@@ -10,7 +11,8 @@
 /// Everything that hosts say to each other, and that a host says to itself in another role.
 using PeerMessage = std::variant<GrantRequest, Granted, GrantShed, GrantWithdrawn, LeaseReleased,
                                  LeaseRenewal, ConfigurationAnnounce, PatchRequest, PatchBatch,
-                                 SnapshotRequest, SnapshotPart, LeavingServers, LeasePreempted>;
+                                 SnapshotRequest, SnapshotPart, LeavingServers, LeasePreempted,
+                                 Probe, ProbeAck, ProbeRequest, NewsPush, GrantMoved>;
 
 } // namespace currantreel
 
--- a/currantreel/src/World/ServerPool.cpp
+++ b/currantreel/src/World/ServerPool.cpp
@@ -315,6 +315,19 @@
     return found == m_targets.end() ? 0 : found->second.slots;
 }
 
+std::vector<TargetLoad> ServerPool::loads() const
+{
+    std::vector<TargetLoad> list;
+    for (const auto &[target, row] : m_targets) {
+        TargetLoad load;
+        load.target = target;
+        load.slots = static_cast<std::uint32_t>(row.slots);
+        load.freeSlots = static_cast<std::uint32_t>(row.slots - std::min(row.slots, row.inFlight));
+        list.push_back(load);
+    }
+    return list;
+}
+
 std::uint32_t ServerPool::inFlight(BackendServerId server) const
 {
     const Row *row = m_servers.find(server);
--- a/currantreel/src/World/ServerPool.h
+++ b/currantreel/src/World/ServerPool.h
@@ -4,6 +4,7 @@
 #include "../Admission/ServerChoice.h"
 #include "../Limits/ServerPace.h"
 #include "../Limits/SlotLimit.h"
+#include "../Ownership/LoadDigest.h"
 #include "HostEntry.h"
 #include <map>
 #include <set>
@@ -35,6 +36,11 @@
     /// Marks exactly these servers as leaving; they get no further grants.
     void setLeaving(const std::set<BackendServerId> &leaving);
 
+    /// True if @p server is declared.
+    [[nodiscard]] bool contains(BackendServerId server) const { return m_servers.find(server); }
+    /// Slots and free slots of every target that has servers; the queues are not known here.
+    [[nodiscard]] std::vector<TargetLoad> loads() const;
+
     /// True if a server that is not leaving serves @p target.
     [[nodiscard]] bool hasServer(TargetId target) const;
 
--- a/currantreel/src/World/World.cpp
+++ b/currantreel/src/World/World.cpp
@@ -6,9 +6,14 @@
 
 template <RoutingPolicy Policy>
 BasicWorld<Policy>::BasicWorld(HostIdentity self, const KeySecret &secret)
-    : m_entry(self.incarnation), m_keys(self, secret), m_configuration(self)
+    : m_entry(self.incarnation),
+      m_keys(self, secret),
+      m_configuration(self),
+      m_membership(self, self.id.value ^ self.incarnation.value)
 {
     m_context.self = std::move(self);
+    if constexpr (Policy::grantPlace == GrantPlace::Entry)
+        m_context.ownership.grantLocally();
 }
 
 template <RoutingPolicy Policy>
@@ -18,12 +23,15 @@
     m_hasStepped = true;
     m_context.now = now;
     m_context.effects.clear();
+    m_membership.advance(now);
     for (const Event &event : events) {
         std::visit([this](const auto &one) { this->apply(one); }, event);
         deliver();
     }
-    if (m_configuration.run(m_context))
-        m_owner.configure(m_context);
+    runMembership();
+    m_configuration.run(m_context);
+    updateOwnership();
+    tellLoads();
     deliver();
     m_entry.run(m_context, m_counters, m_keys);
     deliver();
@@ -51,8 +59,121 @@
 template <RoutingPolicy Policy>
 void BasicWorld<Policy>::sendToPeer(const OutgoingMessage &outgoing)
 {
-    if (const HostEntry *host = m_context.hosts.find(outgoing.to))
-        m_context.emit(SendPeer{ host->id, host->peers, outgoing.message });
+    const Member *member = m_membership.members().find(outgoing.to);
+    if (member)
+        m_context.emit(SendPeer{ member->id, member->entry.peers, outgoing.message });
+}
+
+template <RoutingPolicy Policy>
+template <MembershipMessage Message>
+void BasicWorld<Policy>::receive(HostId from, const Message &message)
+{
+    m_counters.controlBytesReceived += wireSize(message);
+    m_membership.receive(from, message);
+    if (!m_membership.members().find(from))
+        return;
+    for (const TargetLoad &load : message.gossip.ownLoads)
+        m_context.router.learn(m_context.now, from, load);
+    for (const DomainLoad &load : message.gossip.domainLoads)
+        m_context.router.learn(m_context.now, load);
+}
+
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::updateOwnership()
+{
+    const bool isChanged = m_context.ownership.update(m_context.now, m_context.self, m_membership,
+                                                      *m_context.configuration);
+    if (isChanged) {
+        m_context.router.update(m_context.self, m_context.ownership, *m_context.configuration);
+        m_owner.configure(m_context);
+        m_owner.moveUnowned(m_context);
+    }
+    reportLostHosts();
+}
+
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::reportLostHosts()
+{
+    if (m_reportedRevision == m_membership.revision())
+        return;
+    m_reportedRevision = m_membership.revision();
+    std::map<HostId, Incarnation> present;
+    for (const Member &member : m_membership.members()) {
+        if (member.isInService())
+            present[member.id] = member.version.incarnation;
+    }
+    for (const auto &[host, incarnation] : m_present) {
+        const auto now = present.find(host);
+        const bool isRestarted =
+            now != present.end() && incarnation.isValid() && now->second != incarnation;
+        // A queue does not survive its host.
+        if (now == present.end() || isRestarted)
+            m_entry.onHostLost(m_context, host);
+    }
+    m_present = std::move(present);
+}
+
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::tellLoads()
+{
+    if (m_context.now - m_loadsAt < timing::loadInterval)
+        return;
+    m_loadsAt = m_context.now;
+    Gossip &carried = m_membership.carried();
+    carried.ownLoads = m_owner.loads();
+    for (const TargetLoad &load : carried.ownLoads)
+        m_context.router.learn(m_context.now, m_context.self.id, load);
+    carried.domainLoads = m_context.router.ownDomainLoads(m_context.now);
+}
+
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::sendMembership(const MembershipOutgoing &outgoing)
+{
+    const Member *member = m_membership.members().find(outgoing.to);
+    if (!member)
+        return;
+    std::visit(
+        [&](const auto &message) {
+            m_counters.controlBytesSent += wireSize(message);
+            m_context.emit(SendPeer{ member->id, member->entry.peers, message });
+        },
+        outgoing.message);
+}
+
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::runMembership()
+{
+    m_membership.carried().configuration =
+        ConfigurationNews{ m_context.configuration->version, m_context.configuration->digest };
+    m_membership.run();
+    syncHosts();
+    for (const MembershipOutgoing &outgoing : m_membership.takeMessages())
+        sendMembership(outgoing);
+    for (const HostId silent : m_membership.takeReconnects()) {
+        const HostEntry *host = m_context.hosts.find(silent);
+        if (!host)
+            continue;
+        ++m_counters.reconnects;
+        m_context.emit(ReconnectPeer{ host->id, host->peers });
+    }
+}
+
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::syncHosts()
+{
+    if (m_syncedRevision == m_membership.revision())
+        return;
+    m_syncedRevision = m_membership.revision();
+    m_context.hosts.removeIf([this](const HostEntry &host) {
+        const Member *member = m_membership.members().find(host.id);
+        return !member || member->state == MemberState::Dead;
+    });
+    for (const Member &member : m_membership.members()) {
+        if (member.state == MemberState::Dead)
+            continue;
+        HostEntry &host = m_context.hosts.insert(member.entry);
+        host.liveness = member.isInService() ? Liveness::Live : Liveness::Leaving;
+    }
 }
 
 template <RoutingPolicy Policy>
@@ -135,7 +256,7 @@
         return;
     m_context.configuration = event.configuration;
     m_configuration.skipCatchUp();
-    m_owner.configure(m_context);
+    updateOwnership();
     m_context.emit(ConfigurationInForce{ event.configuration->version });
 }
 
@@ -143,8 +264,8 @@
 void BasicWorld<Policy>::apply(const HostListRead &event)
 {
     m_hasHostList = true;
-    for (const HostEntry &host : event.hosts)
-        m_context.hosts.insert(host);
+    m_membership.updateList(event.hosts);
+    syncHosts();
     m_owner.updateLiveness(event.backendServers);
     m_configuration.onHostList(m_context, event);
 }
@@ -171,6 +292,7 @@
 void BasicWorld<Policy>::apply(const StopOrdered & /*event*/)
 {
     m_isStopping = true;
+    m_membership.leave();
 }
 
 template <RoutingPolicy Policy>
@@ -254,6 +376,12 @@
     m_owner.updateLiveness(entries);
 }
 
+template <RoutingPolicy Policy>
+void BasicWorld<Policy>::receive(HostId from, const GrantMoved &message)
+{
+    m_entry.onMoved(m_context, from, message);
+}
+
 template class BasicWorld<TieredPolicy>;
 template class BasicWorld<FifoPolicy>;
 template class BasicWorld<RoundRobinPolicy>;
--- a/test/OwnerTest.cpp
+++ b/test/OwnerTest.cpp
@@ -1,6 +1,7 @@
 #include "WorldFixture.h"
 
 #include <currantreel/Limits>
+#include <currantreel/src/Ownership/Targets.h>
 #include <random>
 
 using namespace test;
