Keep slots free for what higher tiers asked for lately

Cause: at the start of a burst all slots were held by long lower-tier work, so gate questions came late although their own demand fitted. Change: lower tiers leave free what higher tiers needed over the last 10 s; one slot and floor grants are exempt.

--- a/currantreel/src/World/OwnerSystem.cpp
+++ b/currantreel/src/World/OwnerSystem.cpp
@@ -153,6 +153,7 @@
     }
     TargetState &state = stateOf(context, checked.target);
     QueuedGrant grant = queuedGrantOf(context, checked);
+    state.reserve.onRequest(context.now, checked.tier);
     if (isUnreachable(state, grant, waitOf(state, grant))) {
         shed(context, counters, state, grant, ResultCode::TargetUnreachable);
         return;
@@ -184,11 +185,14 @@
 }
 
 template <RoutingPolicy Policy>
-void OwnerSystem<Policy>::endLease(const Lease &lease)
+void OwnerSystem<Policy>::endLease(const Lease &lease, Duration held)
 {
     m_pool.release(lease.server, lease.tokens);
     const auto state = m_states.find(lease.target);
-    if (state != m_states.end() && state->second.preempted == lease.id)
+    if (state == m_states.end())
+        return;
+    state->second.reserve.onReleased(lease.tier, held);
+    if (state->second.preempted == lease.id)
         state->second.preempted = LeaseId();
 }
 
@@ -198,7 +202,8 @@
     const std::optional<Lease> lease = m_leases.remove(message.lease, message.id);
     if (!lease)
         return;
-    endLease(*lease);
+    const bool isWhole = message.end == LeaseEnd::Completed;
+    endLease(*lease, isWhole ? context.now - lease->grantedAt : Duration::zero());
     if constexpr (MeasuredGrantQueue<Queue>) {
         m_pool.learn(context.now, { lease->server, message.end, message.firstToken,
                                     message.interToken, lease->firstTokenTarget });
@@ -233,6 +238,17 @@
     return m_pool.candidates(target, memory, preferred);
 }
 
+template <RoutingPolicy Policy>
+bool OwnerSystem<Policy>::isReserved(TimePoint now, const TargetState &state,
+                                     const GrantRequest &request) const
+{
+    const std::uint64_t reserved = state.reserve.slots(now, request.tier);
+    // One slot is left to lower tiers whatever the demand.
+    const std::uint64_t slots = m_pool.slots(request.target);
+    const std::uint64_t most = slots > 0 ? slots - 1 : 0;
+    return m_pool.freeSlots(request.target) <= std::min(reserved, most);
+}
+
 template <RoutingPolicy Policy>
 bool OwnerSystem<Policy>::grantNext(StepContext &context, Counters &counters, TargetState &state,
                                     TargetId target)
@@ -247,7 +263,9 @@
             mayPayFloor = false;
             candidates = candidatesFor(target, state.queue.next(context.now, false)->request);
         }
-        if (candidates.empty())
+        const GrantRequest &request = state.queue.next(context.now, mayPayFloor)->request;
+        const bool isFloor = request.tier != state.queue.bestTier();
+        if (candidates.empty() || (!isFloor && isReserved(context.now, state, request)))
             return false;
         next = state.queue.pop(context.now, mayPayFloor);
     } else {
@@ -279,6 +297,7 @@
     lease.expires = context.now + timing::leasePeriod;
     m_leases.add(lease);
     m_pool.acquire(server, lease.tokens);
+    m_states.at(lease.target).reserve.onGranted(lease.tier);
     if constexpr (AffineServerChoice<typename Policy::Choice>)
         m_choice.onGranted(request, server);
     ++counters.grants;
@@ -348,7 +367,7 @@
 void OwnerSystem<Policy>::run(StepContext &context, Counters &counters)
 {
     while (const auto lease = m_leases.takeExpired(context.now))
-        endLease(*lease);
+        endLease(*lease, Duration::zero());
     m_pool.run(context.now);
     for (auto target = m_waiting.begin(); target != m_waiting.end();) {
         runTarget(context, counters, *target);
@@ -358,9 +377,9 @@
 }
 
 template class OwnerSystem<TieredPolicy>;
-template class OwnerSystem<FifoPolicy>;
-template class OwnerSystem<RoundRobinPolicy>;
-template class OwnerSystem<ReportedLoadPolicy>;
 template class OwnerSystem<NoOwnerPolicy>;
+template class OwnerSystem<ReportedLoadPolicy>;
+template class OwnerSystem<RoundRobinPolicy>;
+template class OwnerSystem<FifoPolicy>;
 
 } // namespace currantreel
--- a/currantreel/src/World/OwnerSystem.h
+++ b/currantreel/src/World/OwnerSystem.h
@@ -2,6 +2,7 @@
 #define CURRANTREEL_WORLD_OWNERSYSTEM_H
 
 #include "../Limits/AnswerLengths.h"
+#include "../Limits/DemandReserve.h"
 #include "../Limits/MovingAverage.h"
 #include "../Limits/WaitEstimate.h"
 #include "Counters.h"
@@ -61,6 +62,7 @@
         Queue queue;
         WaitEstimate estimate;
         MovingAverage interToken;
+        DemandReserve reserve;
         LeaseId preempted; ///< Told to end and not yet released.
         TimePoint preemptedAt;
     };
@@ -79,13 +81,16 @@
               const QueuedGrant &grant, ResultCode code);
     void sendShed(StepContext &context, Counters &counters, const GrantRequest &request,
                   ResultCode code, Duration retryAfter);
+    /// True if so few slots are free that they are kept for higher tiers than that of @p request.
+    [[nodiscard]] bool isReserved(TimePoint now, const TargetState &state,
+                                  const GrantRequest &request) const;
     bool grantNext(StepContext &context, Counters &counters, TargetState &state, TargetId target);
     [[nodiscard]] std::vector<ServerCandidate> candidatesFor(TargetId target,
                                                              const GrantRequest &request) const;
     void grant(StepContext &context, Counters &counters, const QueuedGrant &grant,
                BackendServerId server);
     void preempt(StepContext &context, TargetState &state, TargetId target);
-    void endLease(const Lease &lease);
+    void endLease(const Lease &lease, Duration held);
     void runTarget(StepContext &context, Counters &counters, TargetId target);
 
     std::map<TargetId, TargetState> m_states;
--- a/currantreel/src/World/ServerPool.cpp
+++ b/currantreel/src/World/ServerPool.cpp
@@ -315,6 +315,15 @@
     return found == m_targets.end() ? 0 : found->second.slots;
 }
 
+std::uint64_t ServerPool::freeSlots(TargetId target) const
+{
+    const auto found = m_targets.find(target);
+    if (found == m_targets.end())
+        return 0;
+    const TargetRow &entry = found->second;
+    return entry.slots > entry.inFlight ? entry.slots - entry.inFlight : 0;
+}
+
 std::uint32_t ServerPool::inFlight(BackendServerId server) const
 {
     const Row *row = m_servers.find(server);
--- a/currantreel/src/World/ServerPool.h
+++ b/currantreel/src/World/ServerPool.h
@@ -55,6 +55,8 @@
 
     /// Slots that may be granted now or once they are released, over all servers of @p target.
     [[nodiscard]] std::uint64_t slots(TargetId target) const;
+    /// Slots of @p target that are free now.
+    [[nodiscard]] std::uint64_t freeSlots(TargetId target) const;
     [[nodiscard]] std::uint32_t inFlight(BackendServerId server) const;
     /// Learned limit of @p server; 0 while it is paused or leaving.
     [[nodiscard]] std::uint32_t limit(BackendServerId server) const;
--- a/test/OwnerTest.cpp
+++ b/test/OwnerTest.cpp
@@ -245,10 +245,27 @@
     CHECK(granted(request).server != first.server);
 }
 
+TEST_CASE_FIXTURE(OwnerFixture,
+                  "a slot is kept free for recent demand of a higher tier, for a while")
+{
+    use(engines(1, 2));
+    warmUp(10);
+    granted(ask(1, "lookup"));
+    send(ask(2, "lookup"));
+    CHECK(messages<Granted>(effects).empty());
+    release(granted(ask(3)));
+    advance(4s);
+    send(LeaseRenewal{ entry, {} });
+    advance(26s);
+    CHECK(world.owner().queued() == 0);
+}
+
 TEST_CASE_FIXTURE(OwnerFixture, "running work is preempted only for a strictly higher tier in need")
 {
     use(engines(1, 2));
     warmUp(10);
+    // The gate's demand is long ago, so that no slot is kept free for it.
+    advance(1min);
     granted(ask(1, "lookup"));
     const Granted younger = granted(ask(2, "lookup"));
     send(ask(3, "lookup"));
