--- a/currantreel/src/Ownership/Router.cpp
+++ b/currantreel/src/Ownership/Router.cpp
@@ -69,6 +69,24 @@
     return static_cast<std::size_t>(XXH3_64bits(&number, sizeof(number)) % bound);
 }
 
+bool Router::isUsable(TimePoint now, HostId owner, TargetId target) const
+{
+    // An owner of leaving servers alone says that it has no slots.
+    const auto found = m_loads.find({ owner, target });
+    return found == m_loads.end() || found->second.load.slots > 0
+           || now - found->second.heardAt > loadValidity;
+}
+
+bool Router::hasOther(TimePoint now, TargetId target, HostId self) const
+{
+    const auto owners = m_owners.find(target);
+    if (owners == m_owners.end())
+        return false;
+    return std::any_of(owners->second.begin(), owners->second.end(), [&](const Owner &owner) {
+        return owner.host != self && isUsable(now, owner.host, target);
+    });
+}
+
 double Router::pressure(TimePoint now, const Owner &owner, TargetId target, Tier tier) const
 {
     const auto found = m_loads.find({ owner.host, target });
@@ -125,6 +143,7 @@
         domain = other.isValid() ? other : domain;
     }
     std::vector<Owner> owners = m_owners.at(target);
+    std::erase_if(owners, [&](const Owner &owner) { return !isUsable(now, owner.host, target); });
     const auto keep = [&owners](auto predicate) {
         if (std::any_of(owners.begin(), owners.end(), predicate))
             std::erase_if(owners, [&](const Owner &owner) { return !predicate(owner); });
@@ -139,6 +158,8 @@
     if (!m_owners.contains(target))
         return {};
     const std::vector<Owner> owners = candidates(now, target, tier, avoid);
+    if (owners.empty())
+        return {};
     Owner chosen = owners[draw(owners.size())];
     const Owner other = owners[draw(owners.size())];
     if (pressure(now, other, target, tier) < pressure(now, chosen, target, tier))
--- a/currantreel/src/Ownership/Router.h
+++ b/currantreel/src/Ownership/Router.h
@@ -32,8 +32,9 @@
     /// @param avoid host that did not answer; chosen only if there is no other.
     [[nodiscard]] HostId choose(TimePoint now, TargetId target, Tier tier, HostId avoid);
 
-    /// True if some host in service owns a server of @p target.
-    [[nodiscard]] bool hasOwner(TargetId target) const { return m_owners.contains(target); }
+    /// True if another host than @p self owns a server of @p target and has not said that it has no
+    /// slot for it.
+    [[nodiscard]] bool hasOther(TimePoint now, TargetId target, HostId self) const;
 
     /// Load of the own failure domain, from what its owners told, for other failure domains.
     [[nodiscard]] std::vector<DomainLoad> ownDomainLoads(TimePoint now) const;
@@ -58,6 +59,7 @@
     [[nodiscard]] FailureDomainId freeDomain(TimePoint now, TargetId target) const;
     [[nodiscard]] std::vector<Owner> candidates(TimePoint now, TargetId target, Tier tier,
                                                 HostId avoid) const;
+    [[nodiscard]] bool isUsable(TimePoint now, HostId owner, TargetId target) const;
     std::size_t draw(std::size_t bound);
 
     HostIdentity m_self;
--- a/currantreel/src/World/EntrySystem.cpp
+++ b/currantreel/src/World/EntrySystem.cpp
@@ -256,8 +256,15 @@
 void EntrySystem::onMoved(StepContext &context, HostId owner, const GrantMoved &message)
 {
     RequestRow *row = m_requests.find(message.id.request);
-    if (row && row->state == State::Waiting && row->owner == owner)
-        askForGrant(context, *row, BackendServerId());
+    if (!row || row->state != State::Waiting || row->owner != owner)
+        return;
+    // Without another one, the view of that host or of this one is about to change.
+    if (context.router.hasOther(context.now, row->target, owner)) {
+        TargetLoad none;
+        none.target = row->target;
+        context.router.learn(context.now, owner, none);
+    }
+    askForGrant(context, *row, BackendServerId());
 }
 
 void EntrySystem::onHostLost(StepContext &context, HostId host)
--- a/currantreel/src/World/OwnerSystem.cpp
+++ b/currantreel/src/World/OwnerSystem.cpp
@@ -88,6 +88,12 @@
     QueuedGrant grant{ request, now, now + request.firstTokenIn, now + request.answerIn,
                        now + request.queueBound };
     if (!hasServer(request.target)) {
+        // The entry's view of who can serve it may lag; its own grants are asked by its own view.
+        const bool isRemote = request.id.entry != context.self.id;
+        if (isRemote && context.router.hasOther(now, request.target, context.self.id)) {
+            context.send(request.id.entry, GrantMoved{ request.id });
+            return;
+        }
         shed(context, counters, grant, ResultCode::NoBackendServer);
         return;
     }
@@ -144,7 +150,7 @@
 void OwnerSystem<Policy>::moveUnowned(StepContext &context)
 {
     for (auto &[target, queue] : m_queues) {
-        if (hasServer(target) || !context.router.hasOwner(target))
+        if (hasServer(target) || !context.router.hasOther(context.now, target, context.self.id))
             continue;
         while (const auto moved = queue.pop(context.now))
             context.send(moved->request.id.entry, GrantMoved{ moved->request.id });
--- a/currantreel/src/World/World.cpp
+++ b/currantreel/src/World/World.cpp
@@ -267,6 +267,9 @@
     m_membership.updateList(event.hosts);
     syncHosts();
     m_owner.updateLiveness(event.backendServers);
+    m_loadsAt = TimePoint();
+    tellLoads();
+    m_owner.moveUnowned(m_context);
     m_configuration.onHostList(m_context, event);
 }
 
@@ -368,6 +371,9 @@
     for (const BackendServerId id : message.servers)
         entries.push_back({ id, Liveness::Leaving });
     m_owner.updateLiveness(entries);
+    m_loadsAt = TimePoint();
+    tellLoads();
+    m_owner.moveUnowned(m_context);
 }
 
 template <RoutingPolicy Policy>
