--- a/currantreel/src/World/OwnerSystem.cpp
+++ b/currantreel/src/World/OwnerSystem.cpp
@@ -150,7 +150,13 @@
     GrantRequest checked = request;
     checked.tier = std::min<Tier>(request.tier, tierCount - 1);
     if (!m_pool.hasServer(checked.target)) {
-        sendShed(context, counters, checked, ResultCode::NoBackendServer, timing::shedRetryAfter);
+        // The entry's view of who can serve it may lag; its own grants are asked by its own view.
+        const bool isRemote = checked.id.entry != context.self.id;
+        if (isRemote && context.router.hasOther(context.now, checked.target, context.self.id))
+            context.send(checked.id.entry, GrantMoved{ checked.id });
+        else
+            sendShed(context, counters, checked, ResultCode::NoBackendServer,
+                     timing::shedRetryAfter);
         return;
     }
     TargetState &state = stateOf(context, checked.target);
@@ -254,7 +260,8 @@
 void OwnerSystem<Policy>::moveUnowned(StepContext &context)
 {
     for (auto target = m_waiting.begin(); target != m_waiting.end();) {
-        if (m_pool.hasServer(*target) || !context.router.hasOwner(*target)) {
+        if (m_pool.hasServer(*target)
+            || !context.router.hasOther(context.now, *target, context.self.id)) {
             ++target;
             continue;
         }
