One owner for all servers of a failure domain that serve the same target

Cause: with an owner drawn for each server, two hosts of a failure domain each kept a queue for the same model; a counter chat waited at one owner while the other started stock lookups on a free slot. Change: the rendezvous hash is over failure domain and target, so one queue stands before all slots that a request could take.

--- a/currantreel/src/Ownership/Ownership.cpp
+++ b/currantreel/src/Ownership/Ownership.cpp
@@ -1,6 +1,7 @@
 #include "Ownership.h"
 
 #include "OwnershipTiming.h"
+#include "Targets.h"
 #include <algorithm>
 #include <array>
 #include <xxhash.h>
@@ -13,16 +14,32 @@
 
 constexpr std::uint32_t wholePermille = 1000;
 
-std::uint64_t weightOf(HostId host, BackendServerId server)
+/// Backend servers of a failure domain that serve the same target. They have one owner, so that one
+/// queue in the operators' order of importance stands before all slots that a request could take.
+struct ServerPoolKey
 {
-    const std::array<std::uint64_t, 2> pair{ host.value, server.value };
-    return XXH3_64bits(pair.data(), sizeof(pair));
+    FailureDomainId failureDomain;
+    TargetId target; ///< The lowest one, if the servers serve several.
+};
+
+std::uint64_t weightOf(HostId host, const ServerPoolKey &pool)
+{
+    const std::array<std::uint64_t, 3> parts{ host.value, pool.failureDomain.value,
+                                              pool.target.value };
+    return XXH3_64bits(parts.data(), sizeof(parts));
+}
+
+ServerPoolKey poolOf(const BackendServer &server)
+{
+    const std::vector<TargetId> targets = targetsOf(server);
+    const auto lowest = std::min_element(targets.begin(), targets.end());
+    return { server.failureDomain, lowest == targets.end() ? TargetId() : *lowest };
 }
 
-HostId ownerAmong(const std::vector<HostId> &hosts, BackendServerId server)
+HostId ownerAmong(const std::vector<HostId> &hosts, const ServerPoolKey &pool)
 {
-    return *std::max_element(hosts.begin(), hosts.end(), [server](HostId left, HostId right) {
-        return weightOf(left, server) < weightOf(right, server);
+    return *std::max_element(hosts.begin(), hosts.end(), [&pool](HostId left, HostId right) {
+        return weightOf(left, pool) < weightOf(right, pool);
     });
 }
 
@@ -113,7 +130,8 @@
         serving[domain] = servingDomain(domain, domains, isIsolated);
     for (const BackendServer &server : configuration.backendServers) {
         const auto hosts = domains.find(serving[server.failureDomain]);
-        HostId owner = hosts == domains.end() ? HostId() : ownerAmong(hosts->second, server.id);
+        HostId owner =
+            hosts == domains.end() ? HostId() : ownerAmong(hosts->second, poolOf(server));
         if (m_isLocal && server.failureDomain == m_self.failureDomain)
             owner = m_self.id;
         Row &row = m_rows[server.id];
--- a/currantreel/src/Ownership/Ownership.h
+++ b/currantreel/src/Ownership/Ownership.h
@@ -12,7 +12,8 @@
 
 /// Who owns each backend server, computed by every host from its own view.
 ///
-/// The owner is the live host of the server's failure domain with the highest rendezvous weight. A
+/// The owner is the live host of the server's failure domain with the highest rendezvous weight for the
+/// servers that serve the same target, which therefore have one owner and one queue. A
 /// failure domain whose hosts are all gone is served by the next one by name, after a delay and unless
 /// this host takes itself for cut off. Views may differ for a moment: two owners at once cost
 /// oversubscription, nothing else.
