--- a/currantreel/src/Admission/TieredQueue.cpp
+++ b/currantreel/src/Admission/TieredQueue.cpp
@@ -27,7 +27,8 @@
 TieredQueue::Expiry TieredQueue::expiryOf(const QueuedGrant &grant)
 {
     const TimePoint latestStart = grant.firstTokenBy - grant.firstTokenAfter;
-    const bool endsEarly = grant.request.isWorthlessWhenLate && latestStart < grant.grantBy;
+    const bool mayRefuse = grant.request.isWorthlessWhenLate && grant.request.tier != topTier;
+    const bool endsEarly = mayRefuse && latestStart < grant.grantBy;
     return { endsEarly ? latestStart : grant.grantBy, grant.sequence };
 }
 
--- a/currantreel/src/Configuration/Configuration.h
+++ b/currantreel/src/Configuration/Configuration.h
@@ -14,6 +14,10 @@
 /// Place in the operators' order of importance; 0 goes first.
 using Tier = std::uint8_t;
 
+/// Tier that goes first. Its requests are never refused because they would be late, since the slots they
+/// leave would go to lower tiers.
+inline constexpr Tier topTier = 0;
+
 /// Number of tiers, 0 to tierCount - 1.
 inline constexpr Tier tierCount = 5;
 
--- a/currantreel/src/World/OwnerSystem.cpp
+++ b/currantreel/src/World/OwnerSystem.cpp
@@ -106,7 +106,8 @@
 bool OwnerSystem<Policy>::isUnreachable(const TargetState &state, const QueuedGrant &grant,
                                         Duration wait) const
 {
-    if (!grant.request.isWorthlessWhenLate || wait == Duration::zero())
+    const bool mayRefuse = grant.request.isWorthlessWhenLate && grant.request.tier != topTier;
+    if (!mayRefuse || wait == Duration::zero())
         return false;
     const TimePoint firstToken = grant.queuedAt + wait + grant.firstTokenAfter;
     const Duration shortestAnswer =
