Let a host that is alone turn ready

Cause: since a host no longer stands in its own table of peers, a lone host waited for ever to ask peers what they know; the first daemon of a quick start never answered /readyz with 200. Change: with the host list read and nobody in it to ask, catching up needs only the platform; the fixture leaves the host itself out of its peers, as the world does. Conclusion: mended.

--- a/currantreel/src/World/ConfigurationSystem.cpp
+++ b/currantreel/src/World/ConfigurationSystem.cpp
@@ -165,10 +165,13 @@
         return;
     if (m_firstRun == TimePoint())
         m_firstRun = context.now;
-    if (!m_hasAsked && !context.hosts.isEmpty()) {
+    // A host that is alone has nobody to ask.
+    const bool isFleetKnown = m_platform.hasHostList() || !context.hosts.isEmpty();
+    if (!m_hasAsked && isFleetKnown) {
         m_hasAsked = true;
         m_answersBy = context.now + timing::startupAnswerTime;
-        announceToSome(context, timing::announceFanOut, true);
+        if (!context.hosts.isEmpty())
+            announceToSome(context, timing::announceFanOut, true);
     }
     const bool haveAnswered = m_answersMissing == 0 || context.now >= m_answersBy;
     const std::uint64_t highest = std::max(m_platform.head().position, m_exchange.highest());
--- a/currantreel/src/World/PlatformReader.h
+++ b/currantreel/src/World/PlatformReader.h
@@ -40,6 +40,8 @@
     [[nodiscard]] const PlatformHead &head() const { return m_head; }
     /// True once the platform has answered a read of the head or failed to answer a call.
     [[nodiscard]] bool hasTried() const { return m_hasTried; }
+    /// True once the platform's host list was read, or peers stood in for it.
+    [[nodiscard]] bool hasHostList() const { return m_hasHostList; }
     [[nodiscard]] std::uint64_t calls() const { return m_calls; }
     /// True if the last call was answered.
     [[nodiscard]] bool isReachable() const { return m_isReachable; }
--- a/test/ConfigurationFleetFixture.h
+++ b/test/ConfigurationFleetFixture.h
@@ -128,8 +128,11 @@
             if (const auto *failure = std::get_if<PlatformUnreachable>(&event))
                 host.system.onUnreachable(host.context, *failure);
             if (const auto *read = std::get_if<HostListRead>(&event)) {
-                for (const HostEntry &entry : read->hosts)
-                    host.context.hosts.insert(entry);
+                for (const HostEntry &entry : read->hosts) {
+                    // As in the world, a host does not stand in its own table of peers.
+                    if (entry.id != host.context.self.id)
+                        host.context.hosts.insert(entry);
+                }
                 host.system.onHostList(host.context, *read);
             }
         }
--- a/test/ConfigurationFleetTest.cpp
+++ b/test/ConfigurationFleetTest.cpp
@@ -51,6 +51,14 @@
     CHECK(large.steady <= 2 * small.steady);
 }
 
+TEST_CASE("a host that is alone turns ready")
+{
+    ConfigurationFleet fleet(1);
+    fleet.advance(5s);
+    CHECK(fleet.haveVersion(1));
+    CHECK(fleet.hosts.front()->system.isCaughtUp());
+}
+
 TEST_CASE("a fleet that starts while the platform is down catches up when it is back")
 {
     ConfigurationFleet fleet(470);
