Check the alignment of struct vectors in frames

Cause: FlatBuffers' verifier leaves the elements of a vector of structs unchecked; under UndefinedBehaviorSanitizer a damaged frame of the codec test was read at a misaligned address. Change: such vectors are refused unless their elements are aligned, in gossip and in lease renewals.

--- a/currantreel/src/Peer/GossipCodec.cpp
+++ b/currantreel/src/Peer/GossipCodec.cpp
@@ -1,5 +1,7 @@
 #include "GossipCodec.h"
 
+#include "WireVector.h"
+
 #include <algorithm>
 
 namespace currantreel::detail {
@@ -108,7 +110,9 @@
 
 bool isBounded(const wire::Gossip &table)
 {
-    return isBounded(table.news()) && isBounded(table.introductions())
+    const bool areAligned =
+        isAligned(table.news()) && isAligned(table.own_loads()) && isAligned(table.domain_loads());
+    return areAligned && isBounded(table.news()) && isBounded(table.introductions())
            && isBounded(table.own_loads()) && isBounded(table.domain_loads())
            && isShort(table.configuration_digest());
 }
--- a/currantreel/src/Peer/PeerDecoder.cpp
+++ b/currantreel/src/Peer/PeerDecoder.cpp
@@ -1,6 +1,7 @@
 #include "PeerDecoder.h"
 
 #include "GossipCodec.h"
+#include "WireVector.h"
 #include <PeerMessage_generated.h>
 #include <cmath>
 
@@ -149,7 +150,8 @@
 {
     LeaseRenewal message;
     message.entry = HostId{ table.entry() };
-    if (!table.items())
+    reader.require(isAligned(table.items()));
+    if (!table.items() || !reader.isValid())
         return message;
     for (const wire::LeaseItem *item : *table.items())
         message.items.push_back({ reader.grantId(&item->id()), LeaseId{ item->lease() },
--- /dev/null
+++ b/currantreel/src/Peer/WireVector.h
@@ -0,0 +1,19 @@
+#ifndef CURRANTREEL_PEER_WIREVECTOR_H
+#define CURRANTREEL_PEER_WIREVECTOR_H
+
+#include <cstdint>
+#include <flatbuffers/flatbuffers.h>
+
+namespace currantreel::detail {
+
+/// True if the structs of a verified vector lie where their type may be read; an absent vector is.
+/// FlatBuffers' verifier checks the alignment of a vector's length, not that of its elements.
+template <typename Struct>
+[[nodiscard]] bool isAligned(const flatbuffers::Vector<const Struct *> *items)
+{
+    return !items || reinterpret_cast<std::uintptr_t>(items->Data()) % alignof(Struct) == 0;
+}
+
+} // namespace currantreel::detail
+
+#endif
