Check the alignment of number vectors in frames

Cause: the list of leaving servers, a vector of 64-bit numbers, was still read misaligned from a damaged frame under UndefinedBehaviorSanitizer. Change: refused unless aligned, like the vectors of structs. Figures: PeerCodecTest under sanitizers failed before and passes after; 20 of 20 tests pass plain. Conclusion: mended.

--- a/currantreel/src/Peer/PeerDecoder.cpp
+++ b/currantreel/src/Peer/PeerDecoder.cpp
@@ -193,10 +193,11 @@
                          reader.bytes(table.bytes(), table.offset(), table.size()) };
 }
 
-LeavingServers decode(Reader & /*reader*/, const wire::LeavingServers &table)
+LeavingServers decode(Reader &reader, const wire::LeavingServers &table)
 {
     LeavingServers message;
-    if (!table.servers())
+    reader.require(isAligned(table.servers()));
+    if (!table.servers() || !reader.isValid())
         return message;
     for (const std::uint64_t server : *table.servers())
         message.servers.push_back(BackendServerId{ server });
--- a/currantreel/src/Peer/WireVector.h
+++ b/currantreel/src/Peer/WireVector.h
@@ -14,6 +14,12 @@
     return !items || reinterpret_cast<std::uintptr_t>(items->Data()) % alignof(Struct) == 0;
 }
 
+/// @copydoc isAligned
+[[nodiscard]] inline bool isAligned(const flatbuffers::Vector<std::uint64_t> *items)
+{
+    return !items || reinterpret_cast<std::uintptr_t>(items->Data()) % alignof(std::uint64_t) == 0;
+}
+
 } // namespace currantreel::detail
 
 #endif
