Guard announcements of a lone host where they choose among hosts

Cause: the guard against an empty table of hosts stood at one caller; the choice itself divides by the number of hosts, so the guard belongs there and serves every caller. Change: announceToSome returns when there is no host; the caller's own check is gone. Conclusion: same behaviour, one place.

--- a/currantreel/src/World/ConfigurationSystem.cpp
+++ b/currantreel/src/World/ConfigurationSystem.cpp
@@ -142,6 +142,8 @@
 void ConfigurationSystem::announceToSome(StepContext &context, std::size_t count,
                                          bool isAnswerWanted)
 {
+    if (context.hosts.isEmpty())
+        return;
     // Half of the choices fall on the own failure domain, whose links are up when others are cut.
     const std::size_t size = context.hosts.size();
     std::size_t sent = 0;
@@ -170,8 +172,7 @@
     if (!m_hasAsked && isFleetKnown) {
         m_hasAsked = true;
         m_answersBy = context.now + timing::startupAnswerTime;
-        if (!context.hosts.isEmpty())
-            announceToSome(context, timing::announceFanOut, true);
+        announceToSome(context, timing::announceFanOut, true);
     }
     const bool haveAnswered = m_answersMissing == 0 || context.now >= m_answersBy;
     const std::uint64_t highest = std::max(m_platform.head().position, m_exchange.highest());
