--- a/apps/currantreeld.cpp
+++ b/apps/currantreeld.cpp
@@ -34,6 +34,11 @@
             fmt::print(stderr, "{}\n", currantreel::toText(fault));
         return exitUsage;
     }
-    currantreel::Daemon daemon(std::get<currantreel::HostSettings>(loaded));
+    const auto &settings = std::get<currantreel::HostSettings>(loaded);
+    if (settings.forward) {
+        currantreel::ForwardDaemon daemon(settings, absl::GetFlag(FLAGS_settings));
+        return daemon.run();
+    }
+    currantreel::Daemon daemon(settings);
     return daemon.run();
 }
--- /dev/null
+++ b/currantreel/src/Forward/EventStreamReader.cpp
@@ -0,0 +1,74 @@
+#include "EventStreamReader.h"
+
+#include <charconv>
+#include <optional>
+
+namespace currantreel {
+
+namespace {
+
+constexpr std::string_view idField = "id:";
+
+std::optional<std::uint64_t> numberIn(std::string_view text)
+{
+    std::uint64_t number = 0;
+    const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (fault != std::errc() || end != text.data() + text.size())
+        return std::nullopt;
+    return number;
+}
+
+} // namespace
+
+void EventStreamReader::add(std::string_view bytes)
+{
+    m_buffer += bytes;
+    while (true) {
+        const std::size_t end = m_buffer.find('\n', m_lineStart);
+        if (end == std::string::npos)
+            return;
+        std::string_view line(m_buffer.data() + m_lineStart, end - m_lineStart);
+        if (!line.empty() && line.back() == '\r')
+            line.remove_suffix(1);
+        endLine(line, end + 1);
+        m_lineStart = end + 1;
+    }
+}
+
+void EventStreamReader::endLine(std::string_view line, std::size_t end)
+{
+    if (line.empty()) {
+        endEvent(end);
+        return;
+    }
+    if (line.compare(0, idField.size(), idField) != 0)
+        return;
+    line.remove_prefix(idField.size());
+    if (!line.empty() && line.front() == ' ')
+        line.remove_prefix(1);
+    m_eventId = line;
+}
+
+void EventStreamReader::endEvent(std::size_t end)
+{
+    m_wholeBytes = end;
+    if (m_eventId.empty())
+        return;
+    const auto last = numberIn(m_lastId);
+    const auto next = numberIn(m_eventId);
+    if (last && next && *next <= *last)
+        m_isOutOfOrder = true;
+    m_lastId = std::move(m_eventId);
+    m_eventId.clear();
+}
+
+std::string EventStreamReader::takeWhole()
+{
+    std::string whole = m_buffer.substr(0, m_wholeBytes);
+    m_buffer.erase(0, m_wholeBytes);
+    m_lineStart -= m_wholeBytes;
+    m_wholeBytes = 0;
+    return whole;
+}
+
+} // namespace currantreel
--- /dev/null
+++ b/currantreel/src/Forward/ForwardAttempts.cpp
@@ -0,0 +1,286 @@
+#include "ForwardSystem.h"
+
+#include "ForwardTiming.h"
+#include "NotRunPromise.h"
+#include <algorithm>
+
+/// @file
+/// What becomes of a request while it is at a backend server and after.
+
+namespace currantreel {
+
+namespace {
+
+constexpr int firstFailureStatus = 500;
+
+bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+} // namespace
+
+ForwardSystem::Call *ForwardSystem::callOf(AttemptId attempt)
+{
+    const auto found = m_attempts.find(attempt);
+    return found == m_attempts.end() ? nullptr : m_calls.find(found->second);
+}
+
+void ForwardSystem::onWritten(AttemptId attempt)
+{
+    Call *call = callOf(attempt);
+    if (!call || call->isWritten)
+        return;
+    call->isWritten = true;
+    ++call->sends;
+}
+
+void ForwardSystem::settleRead(Call &call)
+{
+    if (ForwardServer *server = m_directory.find(call.server))
+        server->own.unreadTokens -= std::min<std::uint64_t>(call.unread, server->own.unreadTokens);
+    call.unread = 0;
+}
+
+void ForwardSystem::settleLoad(Call &call)
+{
+    settleRead(call);
+    ForwardServer *server = m_directory.find(call.server);
+    if (!server)
+        return;
+    const std::uint64_t held = call.prompt.tokens + call.prompt.mostAnswerTokens;
+    server->own.heldTokens -= std::min(held, server->own.heldTokens);
+    server->own.requests -= std::min(1U, server->own.requests);
+}
+
+void ForwardSystem::dropAttempt(Call &call)
+{
+    if (!call.attempt.isValid())
+        return;
+    m_effects.emplace_back(CancelForward{ call.attempt });
+    m_attempts.erase(call.attempt);
+    settleLoad(call);
+    call.attempt = {};
+}
+
+void ForwardSystem::onEvents(TimePoint now, AttemptId attempt, const AnswerStatus &answer)
+{
+    Call *call = callOf(attempt);
+    if (!call)
+        return;
+    call->progressAt = now;
+    call->mayHaveRun = true;
+    if (call->state == State::Relayed)
+        return;
+    settleRead(*call);
+    if (!isSuccess(answer.status))
+        return;
+    call->state = State::Relayed;
+    if (!call->hasBegun && now > call->targetAt)
+        ++m_counters.late;
+    call->hasBegun = true;
+    m_effects.emplace_back(RelayForward{ call->id, attempt });
+}
+
+bool ForwardSystem::mayRepeat(const Call &call, bool hasRun) const
+{
+    if (call.sends >= call.route->mostAttempts)
+        return false;
+    if (!hasRun)
+        return !call.hasBegun || call.route->isResumable;
+    if (call.hasBegun)
+        return call.route->isResumable;
+    return call.route->repeat == RepeatRule::Idempotent || call.route->isResumable;
+}
+
+bool ForwardSystem::tryAgain(TimePoint now, Call &call, bool hasRun)
+{
+    const bool isRepeat = call.sends > 0;
+    if (!mayRepeat(call, hasRun))
+        return false;
+    if (isRepeat && !m_retries.take(call.service, now))
+        return false;
+    if (isRepeat)
+        ++m_counters.repeats;
+    if (call.hasBegun)
+        ++m_counters.resumed;
+    note(noteOf(now, call, call.hasBegun ? DecisionKind::Resumed : DecisionKind::Retried));
+    enqueue(call);
+    return true;
+}
+
+void ForwardSystem::onAnswer(TimePoint now, AttemptId attempt, const AnswerStatus &answer)
+{
+    Call *call = callOf(attempt);
+    if (!call)
+        return;
+    ForwardServer *server = m_directory.find(call->server);
+    const bool isNotRun = answer.saysNotRun || answer.status == detail::statusMisdirected;
+    const bool isFailure = answer.status >= firstFailureStatus;
+    if (server && answer.status == detail::statusMisdirected)
+        server->health.unreachable(now);
+    else if (server && isFailure && !isNotRun)
+        server->health.failed(now);
+    else if (server && !isNotRun)
+        server->health.succeeded();
+    if (!isFailure && !isNotRun) {
+        if (call->state != State::Relayed) {
+            if (now > call->targetAt)
+                ++m_counters.late;
+            m_effects.emplace_back(RelayForward{ call->id, attempt });
+        }
+        finish(now, *call, answer);
+        return;
+    }
+    if (!isNotRun)
+        call->mayHaveRun = true;
+    const bool isPassedOn = !isNotRun && !promisesNotRun(answer.status) && !call->hasBegun;
+    if (mayRepeat(*call, !isNotRun)) {
+        const AttemptId ended = call->attempt;
+        settleLoad(*call);
+        call->attempt = {};
+        call->retryAt = now + timing::retryDelay;
+        if (tryAgain(now, *call, !isNotRun)) {
+            m_attempts.erase(ended);
+            m_effects.emplace_back(CancelForward{ ended });
+            dispatchWaiting(now);
+            return;
+        }
+        call->attempt = ended;
+        call->server = {};
+    }
+    if (isPassedOn) {
+        m_effects.emplace_back(RelayForward{ call->id, attempt });
+        finish(now, *call, answer);
+        return;
+    }
+    giveUp(now, *call,
+           isNotRun ? ResultCode::BackendServersBusy : ResultCode::BackendServerLost);
+}
+
+void ForwardSystem::onFailed(TimePoint now, AttemptId attempt, AttemptFailure failure)
+{
+    Call *call = callOf(attempt);
+    if (!call)
+        return;
+    const bool wasWritten = failure != AttemptFailure::NotConnected;
+    if (ForwardServer *server = m_directory.find(call->server)) {
+        if (wasWritten)
+            server->health.failed(now);
+        else
+            server->health.unreachable(now);
+    }
+    dropAttempt(*call);
+    if (wasWritten)
+        call->mayHaveRun = true;
+    else
+        ++call->connectFailures;
+    const bool isHopeless = call->connectFailures >= timing::mostConnectFailures;
+    if (!isHopeless && tryAgain(now, *call, wasWritten)) {
+        dispatchWaiting(now);
+        return;
+    }
+    giveUp(now, *call,
+           wasWritten ? ResultCode::BackendServerLost : ResultCode::NoBackendServer);
+}
+
+void ForwardSystem::giveUp(TimePoint now, Call &call, ResultCode code)
+{
+    dropAttempt(call);
+    const Outcome outcome = call.mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
+    DecisionNote refusal =
+        noteOf(now, call, call.hasBegun ? DecisionKind::Broken : DecisionKind::Refused);
+    refusal.code = code;
+    refusal.outcome = outcome;
+    note(std::move(refusal));
+    if (call.hasBegun) {
+        ++m_counters.broken;
+        m_effects.emplace_back(BreakForward{ call.id });
+    } else {
+        ++m_counters.refused[code];
+        const bool isNotRun = outcome == Outcome::NotRun;
+        m_effects.emplace_back(RefuseForward{ call.id, code, outcome,
+                                              isNotRun ? retryAfter(call) : Duration::zero() });
+    }
+    end(call.id);
+    dispatchWaiting(now);
+}
+
+void ForwardSystem::finish(TimePoint now, Call &call, const AnswerStatus &answer)
+{
+    ++m_counters.completed;
+    DecisionNote ended = noteOf(now, call, DecisionKind::Ended);
+    ended.status = answer.status;
+    note(std::move(ended));
+    m_effects.emplace_back(FinishForward{ call.id });
+    m_attempts.erase(call.attempt);
+    settleLoad(call);
+    end(call.id);
+    dispatchWaiting(now);
+}
+
+bool ForwardSystem::isSilent(TimePoint now, const Call &call) const
+{
+    const Duration silence = now - call.progressAt;
+    if (call.state == State::Relayed) {
+        const Duration pauses = call.route->pauseTarget * timing::silencePauses;
+        return silence >= std::max(pauses, timing::shortestSilence);
+    }
+    const Duration targets = call.route->target * timing::silenceTargets;
+    return silence >= std::max(targets, timing::shortestSilence);
+}
+
+void ForwardSystem::checkCall(TimePoint now, Call &call)
+{
+    const RequestId id = call.id;
+    if (now >= call.endAt) {
+        if (call.isWritten && call.attempt.isValid())
+            call.mayHaveRun = true;
+        giveUp(now, call, ResultCode::RequestTimedOut);
+        return;
+    }
+    if (call.state == State::Waiting) {
+        const bool hasServers = hasServer(m_directory, placementOf(call));
+        if (!hasServers && !call.hasBegun && now >= call.retryAt)
+            giveUp(now, call, ResultCode::NoBackendServer);
+        else if (now >= call.queuedUntil)
+            giveUp(now, call, ResultCode::QueueFull);
+        return;
+    }
+    if (!call.isWritten && now - call.sentAt >= timing::forwardConnect) {
+        onFailed(now, call.attempt, AttemptFailure::NotConnected);
+        return;
+    }
+    if (!call.isWritten || !isSilent(now, call) || !mayRepeat(call, true))
+        return;
+    call.mayHaveRun = true;
+    if (ForwardServer *server = m_directory.find(call.server))
+        server->health.failed(now);
+    const AttemptId silent = call.attempt;
+    if (tryAgain(now, call, true)) {
+        m_effects.emplace_back(CancelForward{ silent });
+        m_attempts.erase(silent);
+        settleLoad(call);
+        call.attempt = {};
+        dispatchWaiting(now);
+        return;
+    }
+    // No room in the allowance: look again after another silence.
+    if (Call *kept = m_calls.find(id))
+        kept->progressAt = now;
+}
+
+void ForwardSystem::run(TimePoint now)
+{
+    dispatchWaiting(now);
+    std::vector<RequestId> ids;
+    ids.reserve(m_calls.size());
+    for (const Call &call : m_calls)
+        ids.push_back(call.id);
+    for (const RequestId id : ids) {
+        if (Call *call = m_calls.find(id))
+            checkCall(now, *call);
+    }
+}
+
+} // namespace currantreel
--- /dev/null
+++ b/currantreel/src/Forward/ForwardCounters.h
@@ -0,0 +1,26 @@
+#ifndef CURRANTREEL_FORWARD_FORWARDCOUNTERS_H
+#define CURRANTREEL_FORWARD_FORWARDCOUNTERS_H
+
+#include "../Core/ResultCode.h"
+#include <cstdint>
+#include <map>
+
+namespace currantreel {
+
+/// Counts of forwarded requests since the process started.
+struct ForwardCounters
+{
+    std::uint64_t arrived = 0;
+    std::uint64_t completed = 0; ///< A backend server's whole answer was passed on.
+    std::uint64_t late = 0; ///< Of these, begun after the target.
+    std::uint64_t callersLeft = 0;
+    std::uint64_t attempts = 0;
+    std::uint64_t repeats = 0; ///< Attempts beyond the first of each request.
+    std::uint64_t resumed = 0; ///< Streams that went on at another server.
+    std::uint64_t broken = 0; ///< Replies that were cut off.
+    std::map<ResultCode, std::uint64_t> refused;
+};
+
+} // namespace currantreel
+
+#endif
--- /dev/null
+++ b/currantreel/src/Forward/ForwardSystem.cpp
@@ -0,0 +1,263 @@
+#include "ForwardSystem.h"
+
+#include "ForwardTiming.h"
+#include "NotRunPromise.h"
+#include <algorithm>
+
+namespace currantreel {
+
+namespace {
+
+/// Routes' priorities are ranked within the workspaces' by this factor.
+constexpr std::uint32_t prioritiesPerWorkspaceRank = 3;
+/// Rank of workspaces that state none.
+constexpr std::uint32_t defaultWorkspacePriority = 1;
+/// Least urgent priority that engines know.
+constexpr std::uint32_t lowestEnginePriority = 9;
+
+std::uint32_t rankOf(const Route &route, const KeyedWorkspace *workspace)
+{
+    const std::uint32_t own =
+        workspace ? workspace->priority.value_or(defaultWorkspacePriority) : 0;
+    const auto within = std::min<std::uint32_t>(route.priority, prioritiesPerWorkspaceRank - 1);
+    return own * prioritiesPerWorkspaceRank + within;
+}
+
+Duration shortestLimit(Duration caller, Duration route)
+{
+    if (caller == Duration::zero() && route == Duration::zero())
+        return timing::defaultTimeout;
+    if (caller == Duration::zero() || route == Duration::zero())
+        return std::max(caller, route);
+    return std::min(caller, route);
+}
+
+} // namespace
+
+ForwardSystem::ForwardSystem(FailureDomainId failureDomain, std::uint64_t seed)
+    : m_failureDomain(failureDomain), m_random(seed)
+{
+}
+
+bool ForwardSystem::onConfiguration(std::shared_ptr<const RouteConfiguration> configuration)
+{
+    if (!m_routes.update(std::move(configuration)))
+        return false;
+    m_directory.configure(*m_routes.configuration());
+    return true;
+}
+
+std::size_t ForwardSystem::waiting() const
+{
+    std::size_t sum = 0;
+    for (const auto &[service, queue] : m_queues)
+        sum += queue.size();
+    return sum;
+}
+
+void ForwardSystem::refuseArrival(const CallArrived &event, ResultCode code)
+{
+    ++m_counters.refused[code];
+    const bool isTemporary = info(code).httpStatus == detail::statusUnavailable;
+    const Duration advice = isTemporary ? timing::defaultRetryAfter : Duration::zero();
+    m_effects.emplace_back(RefuseForward{ event.request, code, Outcome::NotRun, advice });
+    DecisionNote refusal;
+    refusal.kind = DecisionKind::Refused;
+    refusal.request = event.request;
+    refusal.callerId = event.callerId;
+    refusal.code = code;
+    refusal.outcome = Outcome::NotRun;
+    refusal.version = m_routes.version();
+    note(std::move(refusal));
+}
+
+bool ForwardSystem::admit(TimePoint now, const CallArrived &event, Call &call)
+{
+    if (m_routes.version() == 0) {
+        refuseArrival(event, ResultCode::RequestNoConfiguration);
+        return false;
+    }
+    call.route = m_routes.find(event.host, event.path);
+    if (!call.route) {
+        refuseArrival(event, ResultCode::RequestUnknownRoute);
+        return false;
+    }
+    call.configuration = m_routes.configuration();
+    const KeyedWorkspace *workspace = nullptr;
+    if (call.configuration->needsKeys && !call.route->isOpen) {
+        workspace = m_routes.workspace(event.key);
+        if (!workspace) {
+            refuseArrival(event, ResultCode::RequestUnknownKey);
+            return false;
+        }
+        call.workspace = workspace->name;
+    }
+    call.id = event.request;
+    call.callerId = event.callerId;
+    call.service = RouteTable::service(*call.route, m_random());
+    call.rank = rankOf(*call.route, workspace);
+    call.prompt = event.prompt;
+    call.arrivedAt = now;
+    call.targetAt = now + call.route->target;
+    const Duration limit = shortestLimit(event.callerTimeout, call.route->timeout);
+    call.endAt = now + limit;
+    call.queuedUntil =
+        now + std::chrono::duration_cast<Duration>(limit * timing::queuedShare);
+    return true;
+}
+
+void ForwardSystem::onArrived(TimePoint now, const CallArrived &event)
+{
+    ++m_counters.arrived;
+    Call call;
+    if (!admit(now, event, call))
+        return;
+    m_retries.countRequest(call.service, now);
+    Call &stored = m_calls.insert(std::move(call));
+    enqueue(stored);
+    dispatchWaiting(now);
+    const Call *waiting = m_calls.find(event.request);
+    if (waiting && waiting->state == State::Waiting)
+        note(noteOf(now, *waiting, DecisionKind::Queued));
+}
+
+QueuePosition ForwardSystem::positionOf(const Call &call) const
+{
+    return QueuePosition{ call.rank, call.targetAt, call.id };
+}
+
+void ForwardSystem::enqueue(Call &call)
+{
+    call.state = State::Waiting;
+    m_queues[call.service].insert(positionOf(call));
+}
+
+void ForwardSystem::dequeue(const Call &call)
+{
+    m_queues[call.service].erase(positionOf(call));
+}
+
+PlacementRequest ForwardSystem::placementOf(const Call &call) const
+{
+    PlacementRequest request;
+    request.service = call.service;
+    request.prompt = call.route->hasPrompt ? &call.prompt : nullptr;
+    request.failureDomain = m_failureDomain;
+    request.isUrgent = call.route->priority == topTier;
+    request.tried = call.tried;
+    return request;
+}
+
+void ForwardSystem::dispatchWaiting(TimePoint now)
+{
+    for (auto &[service, queue] : m_queues) {
+        auto next = queue.begin();
+        while (next != queue.end()) {
+            Call &call = *m_calls.find(next->request);
+            if (now < call.retryAt) {
+                ++next;
+                continue;
+            }
+            // Strict order: what is less urgent does not pass a request that finds no room.
+            if (!dispatch(now, call))
+                break;
+            next = queue.erase(next);
+        }
+    }
+}
+
+bool ForwardSystem::dispatch(TimePoint now, Call &call)
+{
+    ForwardServer *server = chooseServer(m_directory, placementOf(call), now);
+    if (!server)
+        return false;
+    send(now, call, *server);
+    return true;
+}
+
+void ForwardSystem::send(TimePoint now, Call &call, ForwardServer &server)
+{
+    DecisionNote choice = noteOf(now, call, DecisionKind::Chosen);
+    choice.instance = server.announced.instance;
+    choice.load = server.load().requests;
+    note(std::move(choice));
+    ++m_counters.attempts;
+    call.state = State::Sent;
+    call.attempt = AttemptId{ m_nextAttempt++ };
+    call.server = server.id;
+    call.sentAt = now;
+    call.progressAt = now;
+    call.isWritten = false;
+    call.tried.push_back(server.id);
+    const std::uint32_t kept = server.cache.keptTokens(call.prompt);
+    call.unread = call.prompt.tokens > kept ? call.prompt.tokens - kept : 0;
+    server.cache.remember(call.prompt);
+    server.own.requests += 1;
+    server.own.unreadTokens += call.unread;
+    server.own.heldTokens += call.prompt.tokens + call.prompt.mostAnswerTokens;
+    m_attempts[call.attempt] = call.id;
+
+    StartForward start;
+    start.request = call.id;
+    start.attempt = call.attempt;
+    start.address = server.announced.address;
+    start.instance = server.announced.instance;
+    start.workspace = call.workspace;
+    start.timeLeft = call.endAt - now;
+    start.priority = static_cast<std::uint8_t>(std::min(call.rank, lowestEnginePriority));
+    start.hasPriority = server.memoryTokens > 0;
+    start.isRepeatable = call.route->repeat == RepeatRule::Idempotent || call.route->isResumable;
+    start.isStream = call.route->isStream;
+    m_effects.emplace_back(std::move(start));
+}
+
+void ForwardSystem::onCallerLeft(TimePoint now, RequestId request)
+{
+    Call *call = m_calls.find(request);
+    if (!call)
+        return;
+    ++m_counters.callersLeft;
+    DecisionNote left = noteOf(now, *call, DecisionKind::Ended);
+    left.outcome = call->mayHaveRun || call->isWritten ? Outcome::Unknown : Outcome::NotRun;
+    note(std::move(left));
+    dropAttempt(*call);
+    end(request);
+    dispatchWaiting(now);
+}
+
+void ForwardSystem::end(RequestId request)
+{
+    const Call *call = m_calls.find(request);
+    if (call && call->state == State::Waiting)
+        dequeue(*call);
+    m_calls.remove(request);
+}
+
+Duration ForwardSystem::retryAfter(const Call & /*call*/) const
+{
+    return timing::defaultRetryAfter;
+}
+
+DecisionNote ForwardSystem::noteOf(TimePoint now, const Call &call, DecisionKind kind) const
+{
+    DecisionNote decision;
+    decision.kind = kind;
+    decision.request = call.id;
+    decision.callerId = call.callerId;
+    decision.route = call.route->name;
+    if (const ForwardServer *server = m_directory.find(call.server))
+        decision.instance = server->announced.instance;
+    decision.version = call.configuration->version;
+    const auto queue = m_queues.find(call.service);
+    decision.waiting =
+        queue == m_queues.end() ? 0 : static_cast<std::uint32_t>(queue->second.size());
+    decision.age = now - call.arrivedAt;
+    return decision;
+}
+
+void ForwardSystem::note(DecisionNote note)
+{
+    m_effects.emplace_back(std::move(note));
+}
+
+} // namespace currantreel
--- /dev/null
+++ b/currantreel/src/Forward/ForwardSystem.h
@@ -0,0 +1,141 @@
+#ifndef CURRANTREEL_FORWARD_FORWARDSYSTEM_H
+#define CURRANTREEL_FORWARD_FORWARDSYSTEM_H
+
+#include "../Core/Table.h"
+#include "ForwardCounters.h"
+#include "ForwardMessages.h"
+#include "RetryAllowance.h"
+#include "RouteTable.h"
+#include "ServerDirectory.h"
+#include "ServerPlacement.h"
+#include <random>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace currantreel {
+
+/// Order of waiting requests: the more urgent tier first, then the earlier target.
+struct QueuePosition
+{
+    std::uint32_t rank = 0;
+    TimePoint targetAt;
+    RequestId request;
+
+    friend auto operator<=>(const QueuePosition &, const QueuePosition &) = default;
+};
+
+/// Follows each forwarded request from arrival to its end: finds its route, queues it, chooses backend
+/// servers, repeats it where that is allowed, and refuses it where that is true.
+///
+/// Pure: time comes as an argument and what is to be done goes out as effects. Answers for the queue,
+/// the refusals and the choice of servers under any load.
+class ForwardSystem
+{
+public:
+    /// @param failureDomain of this host. @param seed of random draws.
+    ForwardSystem(FailureDomainId failureDomain, std::uint64_t seed);
+
+    void onArrived(TimePoint now, const CallArrived &event);
+    /// The caller closed its connection.
+    void onCallerLeft(TimePoint now, RequestId request);
+    /// The first byte was handed to the backend server's connection.
+    void onWritten(AttemptId attempt);
+    /// Whole events of a stream arrived; @p answer is the status of its head.
+    void onEvents(TimePoint now, AttemptId attempt, const AnswerStatus &answer);
+    /// The answer arrived whole.
+    void onAnswer(TimePoint now, AttemptId attempt, const AnswerStatus &answer);
+    void onFailed(TimePoint now, AttemptId attempt, AttemptFailure failure);
+
+    /// Servers changed, or other hosts told of their work.
+    void onServersChanged(TimePoint now) { dispatchWaiting(now); }
+    /// A configuration was read. Returns whether it came into force.
+    bool onConfiguration(std::shared_ptr<const RouteConfiguration> configuration);
+
+    /// Ends requests whose time is over, gives up on silent servers, and sends what waits.
+    void run(TimePoint now);
+
+    /// What is to be done since the last call.
+    [[nodiscard]] std::vector<ForwardEffect> takeEffects() { return std::exchange(m_effects, {}); }
+
+    [[nodiscard]] ServerDirectory &directory() { return m_directory; }
+    [[nodiscard]] const ServerDirectory &directory() const { return m_directory; }
+    [[nodiscard]] RetryAllowance &retries() { return m_retries; }
+    [[nodiscard]] const RouteTable &routes() const { return m_routes; }
+    [[nodiscard]] const ForwardCounters &counters() const { return m_counters; }
+    [[nodiscard]] std::size_t size() const { return m_calls.size(); }
+    [[nodiscard]] std::size_t waiting() const;
+
+private:
+    enum class State : std::uint8_t { Waiting, Sent, Relayed };
+
+    struct Call
+    {
+        RequestId id;
+        std::string callerId;
+        std::shared_ptr<const RouteConfiguration> configuration; ///< Keeps `route` alive.
+        const Route *route = nullptr;
+        ServiceId service;
+        std::string workspace;
+        std::uint32_t rank = 0; ///< Lower is more urgent.
+        Prompt prompt;
+        State state = State::Waiting;
+        TimePoint arrivedAt;
+        TimePoint targetAt;
+        TimePoint endAt;
+        TimePoint queuedUntil; ///< Refused if it still waits then.
+        TimePoint retryAt; ///< Not sent again before.
+        AttemptId attempt;
+        BackendServerId server;
+        TimePoint sentAt;
+        TimePoint progressAt; ///< Last sign of life of the present attempt.
+        bool isWritten = false; ///< Of the present attempt.
+        bool mayHaveRun = false; ///< Some attempt may have run the request.
+        bool hasBegun = false; ///< The caller has part of the answer.
+        std::uint32_t sends = 0; ///< Servers that were sent a byte.
+        std::uint32_t connectFailures = 0;
+        std::uint32_t unread = 0; ///< Tokens counted as unread at `server`.
+        std::vector<BackendServerId> tried;
+    };
+
+    [[nodiscard]] bool admit(TimePoint now, const CallArrived &event, Call &call);
+    void refuseArrival(const CallArrived &event, ResultCode code);
+    [[nodiscard]] Call *callOf(AttemptId attempt);
+    void enqueue(Call &call);
+    void dequeue(const Call &call);
+    [[nodiscard]] QueuePosition positionOf(const Call &call) const;
+    [[nodiscard]] PlacementRequest placementOf(const Call &call) const;
+    void dispatchWaiting(TimePoint now);
+    [[nodiscard]] bool dispatch(TimePoint now, Call &call);
+    void send(TimePoint now, Call &call, ForwardServer &server);
+    void settleLoad(Call &call);
+    void settleRead(Call &call);
+    void dropAttempt(Call &call);
+    [[nodiscard]] bool mayRepeat(const Call &call, bool hasRun) const;
+    [[nodiscard]] bool tryAgain(TimePoint now, Call &call, bool hasRun);
+    void giveUp(TimePoint now, Call &call, ResultCode code);
+    void finish(TimePoint now, Call &call, const AnswerStatus &answer);
+    void end(RequestId request);
+    void checkCall(TimePoint now, Call &call);
+    [[nodiscard]] bool isSilent(TimePoint now, const Call &call) const;
+    [[nodiscard]] Duration retryAfter(const Call &call) const;
+    [[nodiscard]] DecisionNote noteOf(TimePoint now, const Call &call, DecisionKind kind) const;
+    void note(DecisionNote note);
+
+    FailureDomainId m_failureDomain;
+    std::mt19937_64 m_random;
+    RouteTable m_routes;
+    ServerDirectory m_directory;
+    RetryAllowance m_retries;
+    Table<Call> m_calls;
+    std::unordered_map<AttemptId, RequestId> m_attempts;
+    std::map<ServiceId, std::set<QueuePosition>> m_queues;
+    std::uint64_t m_nextAttempt = 1;
+    ForwardCounters m_counters;
+    std::vector<ForwardEffect> m_effects;
+};
+
+} // namespace currantreel
+
+#endif
--- /dev/null
+++ b/currantreel/src/Forward/ForwardTiming.h
@@ -0,0 +1,32 @@
+#ifndef CURRANTREEL_FORWARD_FORWARDTIMING_H
+#define CURRANTREEL_FORWARD_FORWARDTIMING_H
+
+#include "../Core/Time.h"
+#include <cstdint>
+
+namespace currantreel::timing {
+
+using namespace std::chrono_literals;
+
+/// Longest wait for a connection to a backend server before another server is tried.
+inline constexpr Duration forwardConnect = 300ms;
+/// Silence of a backend server after which a request that may be repeated goes to another one, as a
+/// multiple of its target, and at least.
+inline constexpr int silenceTargets = 4;
+inline constexpr Duration shortestSilence = 800ms;
+/// Silence within a stream, as a multiple of its pause target.
+inline constexpr int silencePauses = 4;
+/// Wait before a request is sent again to a server that refused it.
+inline constexpr Duration retryDelay = 30ms;
+/// Part of the time left that a request may spend in the queue.
+inline constexpr double queuedShare = 0.5;
+/// Advice to callers when nothing better is known.
+inline constexpr Duration defaultRetryAfter = 400ms;
+/// Time limit of requests that state none on routes that state none.
+inline constexpr Duration defaultTimeout = 60s;
+/// Connections that failed without a byte written before a request is refused.
+inline constexpr std::uint32_t mostConnectFailures = 4;
+
+} // namespace currantreel::timing
+
+#endif
--- /dev/null
+++ b/currantreel/src/Forward/Prompt.h
@@ -0,0 +1,34 @@
+#ifndef CURRANTREEL_FORWARD_PROMPT_H
+#define CURRANTREEL_FORWARD_PROMPT_H
+
+#include <cstdint>
+#include <vector>
+
+namespace currantreel {
+
+/// A run of prompt tokens that several requests may begin with.
+struct PromptPart
+{
+    std::uint64_t id = 0;
+    std::uint32_t tokens = 0;
+};
+
+/// What a request for a model engine says of its size.
+struct Prompt
+{
+    std::vector<PromptPart> parts; ///< In the order of the prompt; the last one is the request's own.
+    std::uint32_t tokens = 0; ///< The whole prompt.
+    std::uint32_t mostAnswerTokens = 0;
+
+    /// Part that marks the subject or session: the last one that other requests share; 0 if none.
+    [[nodiscard]] std::uint64_t subject() const
+    {
+        if (parts.empty())
+            return 0;
+        return parts.size() > 1 ? parts[parts.size() - 2].id : parts.front().id;
+    }
+};
+
+} // namespace currantreel
+
+#endif
--- /dev/null
+++ b/currantreel/src/Forward/PublishedReader.h
@@ -0,0 +1,172 @@
+#ifndef CURRANTREEL_FORWARD_PUBLISHEDREADER_H
+#define CURRANTREEL_FORWARD_PUBLISHEDREADER_H
+
+#include "PublishedState.h"
+#include <algorithm>
+#include <concepts>
+#include <functional>
+#include <optional>
+#include <utility>
+#include <string>
+#include <vector>
+
+namespace currantreel {
+
+/// Part of a listing of all published items.
+struct PublishedPage
+{
+    std::vector<PublishedItem> items;
+    std::uint64_t revision = 0; ///< Of the platform when it answered.
+    bool hasMore = false;
+};
+
+/// Changes since the revision that was asked for.
+struct PublishedChanges
+{
+    std::vector<PublishedItem> items;
+    std::uint64_t revision = 0; ///< To ask for next.
+};
+
+/// Why a call to the platform gave nothing.
+enum class ReadFailure : std::uint8_t {
+    HistoryLost, ///< Changes since that revision are no longer known: everything is to be read.
+    Refused, ///< The platform answered, and did nothing.
+    NoAnswer,
+};
+
+/// Carries out one call at a time to the platform, each over a connection of its own.
+template <typename T>
+concept PublishedSource = requires(T &source, const std::string &key, std::uint64_t revision,
+                                   Duration wait)
+{
+    source.list(key, wait);
+    source.watch(revision, wait, wait);
+};
+
+/// Timing of the reads.
+struct PublishedReaderTiming
+{
+    Duration watch = std::chrono::seconds(2); ///< Longest wait of one watch.
+    Duration silence = std::chrono::milliseconds(500); ///< Beyond it, until a call is given up.
+    Duration shortestBackoff = std::chrono::milliseconds(100);
+    Duration longestBackoff = std::chrono::milliseconds(800);
+    /// After an outage, entries that are missing are kept for this long.
+    Duration lapseHold = std::chrono::seconds(2);
+    /// Time without an answer that counts as an outage.
+    Duration outage = std::chrono::milliseconds(1'000);
+};
+
+/// Keeps the published state up to date: reads everything once, then watches for changes, and reads
+/// everything again where changes were lost.
+/// @tparam Source what carries out the calls.
+template <PublishedSource Source>
+class PublishedReader
+{
+public:
+    using Timing = PublishedReaderTiming;
+
+    PublishedReader(Source &source, PublishedState &state, const Timing &timing)
+        : m_source(&source), m_state(&state), m_timing(timing)
+    {
+    }
+
+    /// Starts to read.
+    void start(TimePoint now)
+    {
+        m_answeredAt = now;
+        beginListing();
+    }
+
+    /// A page of the listing arrived. Returns what is news.
+    std::vector<PublishedItem> onPage(TimePoint now, const PublishedPage &page)
+    {
+        answered(now);
+        if (m_listed.empty())
+            m_listRevision = page.revision;
+        m_listed.insert(m_listed.end(), page.items.begin(), page.items.end());
+        if (page.hasMore && !page.items.empty()) {
+            m_source->list(page.items.back().key, m_timing.silence);
+            return {};
+        }
+        std::vector<PublishedItem> news =
+            m_state->replace(now, "", std::exchange(m_listed, {}), m_listRevision);
+        m_watched = m_listRevision;
+        m_isComplete = true;
+        beginWatch();
+        return news;
+    }
+
+    /// Changes arrived. Returns what is news.
+    std::vector<PublishedItem> onChanges(TimePoint now, const PublishedChanges &changes)
+    {
+        answered(now);
+        m_watched = std::max(m_watched, changes.revision);
+        std::vector<PublishedItem> news = m_state->apply(now, changes.items);
+        beginWatch();
+        return news;
+    }
+
+    void onFailed(TimePoint now, ReadFailure failure)
+    {
+        if (failure == ReadFailure::HistoryLost) {
+            answered(now);
+            beginListing();
+            return;
+        }
+        m_listed.clear();
+        m_backoff = std::clamp(m_backoff * 2, m_timing.shortestBackoff, m_timing.longestBackoff);
+        m_retryAt = now + m_backoff;
+    }
+
+    /// Tries again after a failure, when it is time.
+    void run(TimePoint now)
+    {
+        if (!m_retryAt || now < *m_retryAt)
+            return;
+        m_retryAt.reset();
+        if (m_isComplete)
+            beginWatch();
+        else
+            beginListing();
+    }
+
+    /// True once everything was read.
+    [[nodiscard]] bool isComplete() const { return m_isComplete; }
+    /// True while calls fail.
+    [[nodiscard]] bool isFailing() const { return m_backoff > Duration::zero(); }
+    [[nodiscard]] TimePoint answeredAt() const { return m_answeredAt; }
+
+private:
+    void answered(TimePoint now)
+    {
+        if (isFailing() && now - m_answeredAt >= m_timing.outage)
+            m_state->holdRemovals(now + m_timing.lapseHold);
+        m_answeredAt = now;
+        m_backoff = Duration::zero();
+        m_retryAt.reset();
+    }
+
+    void beginListing()
+    {
+        m_isComplete = false;
+        m_listed.clear();
+        m_source->list("", m_timing.silence);
+    }
+
+    void beginWatch() { m_source->watch(m_watched, m_timing.watch, m_timing.silence); }
+
+    Source *m_source;
+    PublishedState *m_state;
+    Timing m_timing;
+    std::vector<PublishedItem> m_listed; ///< Pages so far.
+    std::uint64_t m_listRevision = 0;
+    std::uint64_t m_watched = 0;
+    bool m_isComplete = false;
+    TimePoint m_answeredAt;
+    Duration m_backoff{};
+    std::optional<TimePoint> m_retryAt;
+};
+
+} // namespace currantreel
+
+#endif
--- /dev/null
+++ b/currantreel/src/Forward/RouteTable.h
@@ -0,0 +1,44 @@
+#ifndef CURRANTREEL_FORWARD_ROUTETABLE_H
+#define CURRANTREEL_FORWARD_ROUTETABLE_H
+
+#include "RouteConfiguration.h"
+#include <memory>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace currantreel {
+
+/// The configuration in force, indexed for the lookup of requests. Its version never falls.
+class RouteTable
+{
+public:
+    /// Takes @p configuration into force if its version is higher. Returns whether it did.
+    bool update(std::shared_ptr<const RouteConfiguration> configuration);
+
+    /// Route of the host with the longest prefix that begins @p path, or nullptr.
+    /// @param host as sent by the caller; a port is ignored. @param path with or without a query.
+    [[nodiscard]] const Route *find(std::string_view host, std::string_view path) const;
+
+    /// Workspace that holds @p key, or nullptr.
+    [[nodiscard]] const KeyedWorkspace *workspace(const std::string &key) const;
+
+    /// Service for one request, drawn by weight. @param draw evenly distributed number.
+    [[nodiscard]] static ServiceId service(const Route &route, std::uint64_t draw);
+
+    [[nodiscard]] const std::shared_ptr<const RouteConfiguration> &configuration() const
+    {
+        return m_configuration;
+    }
+    [[nodiscard]] std::uint64_t version() const { return m_configuration->version; }
+
+private:
+    std::shared_ptr<const RouteConfiguration> m_configuration =
+        std::make_shared<RouteConfiguration>();
+    /// Routes by host, longest prefix first.
+    std::unordered_map<std::string, std::vector<const Route *>> m_byHost;
+};
+
+} // namespace currantreel
+
+#endif
--- /dev/null
+++ b/currantreel/src/Forward/ServerDirectory.h
@@ -0,0 +1,98 @@
+#ifndef CURRANTREEL_FORWARD_SERVERDIRECTORY_H
+#define CURRANTREEL_FORWARD_SERVERDIRECTORY_H
+
+#include "../Core/Table.h"
+#include "../Settings/Address.h"
+#include "PromptCache.h"
+#include "RouteConfiguration.h"
+#include "ServerHealth.h"
+#include <map>
+#include <string>
+#include <vector>
+
+namespace currantreel {
+
+/// A backend server as it announces itself.
+struct ServerAnnouncement
+{
+    std::string instance; ///< Name of this run of the server.
+    ServiceId service;
+    Address address;
+    FailureDomainId failureDomain;
+    std::uint32_t slots = 1; ///< Requests that it runs at once.
+    bool isLeaving = false;
+    Duration coldLeft{}; ///< How much longer it stays slow after its start.
+    std::uint64_t startedAt = 0; ///< Unix time in milliseconds; 0 if it states none.
+};
+
+/// Work at one backend server.
+struct ServerLoad
+{
+    std::uint32_t requests = 0; ///< Sent and not ended.
+    std::uint64_t unreadTokens = 0; ///< Of prompts whose answer has not begun.
+    std::uint64_t heldTokens = 0; ///< Memory that the requests need until they end.
+
+    void add(const ServerLoad &other)
+    {
+        requests += other.requests;
+        unreadTokens += other.unreadTokens;
+        heldTokens += other.heldTokens;
+    }
+};
+
+/// One backend server with what this host knows of its work.
+struct ForwardServer
+{
+    BackendServerId id;
+    ServerAnnouncement announced;
+    TimePoint coldUntil;
+    ServerLoad own; ///< Requests of this host.
+    ServerLoad others; ///< Requests of other hosts, as they last told.
+    PromptCache cache;
+    ServerHealth health;
+    std::uint64_t memoryTokens = 0; ///< 0: no engine.
+    std::uint32_t mostRequests = 0; ///< Most requests of all hosts that it is sent at once.
+
+    [[nodiscard]] ServerLoad load() const
+    {
+        ServerLoad sum = own;
+        sum.add(others);
+        return sum;
+    }
+};
+
+/// The backend servers that may be used, by service.
+class ServerDirectory
+{
+public:
+    /// Takes over what a server announces. A new run of the same name starts with nothing.
+    void announce(TimePoint now, const ServerAnnouncement &server);
+
+    /// The server left or was lost.
+    void remove(const std::string &instance);
+
+    /// Takes limits of services from @p configuration.
+    void configure(const RouteConfiguration &configuration);
+
+    [[nodiscard]] ForwardServer *find(BackendServerId id) { return m_servers.find(id); }
+    [[nodiscard]] const ForwardServer *find(BackendServerId id) const { return m_servers.find(id); }
+
+    /// Servers of @p service that take new requests.
+    [[nodiscard]] std::vector<ForwardServer *> usable(ServiceId service);
+
+    /// Forgets what other hosts told, before their newest news are added up.
+    void clearOthers();
+
+    [[nodiscard]] std::size_t size() const { return m_servers.size(); }
+    [[nodiscard]] const Table<ForwardServer> &servers() const { return m_servers; }
+
+private:
+    void configure(ForwardServer &server) const;
+
+    Table<ForwardServer> m_servers;
+    std::map<ServiceId, ForwardService> m_services;
+};
+
+} // namespace currantreel
+
+#endif
--- /dev/null
+++ b/currantreel/src/Forward/ServerPlacement.h
@@ -0,0 +1,34 @@
+#ifndef CURRANTREEL_FORWARD_SERVERPLACEMENT_H
+#define CURRANTREEL_FORWARD_SERVERPLACEMENT_H
+
+#include "ServerDirectory.h"
+#include <span>
+
+namespace currantreel {
+
+/// What the choice of a backend server depends on, besides the servers.
+struct PlacementRequest
+{
+    ServiceId service;
+    const Prompt *prompt = nullptr; ///< Null for requests to plain services.
+    FailureDomainId failureDomain; ///< Of this host.
+    bool isUrgent = false; ///< Of the top tier: may use places that lower tiers leave free.
+    std::span<const BackendServerId> tried; ///< Servers that failed the request.
+};
+
+/// Chooses the backend server with the lowest expected cost for all callers, in prompt tokens: what has
+/// to be read before the request, what the request has to read itself, the slower progress of all that
+/// run there, and the transfer between failure domains.
+///
+/// Requests about the same subject prefer the same server of their failure domain, on every host and
+/// without a word between hosts, by rendezvous hashing.
+/// @return the server, or nullptr if none has room.
+[[nodiscard]] ForwardServer *chooseServer(ServerDirectory &directory,
+                                          const PlacementRequest &request, TimePoint now);
+
+/// True if some server of the service could take requests, full or not.
+[[nodiscard]] bool hasServer(ServerDirectory &directory, const PlacementRequest &request);
+
+} // namespace currantreel
+
+#endif
--- a/currantreel/src/Settings/CheckedTable.h
+++ b/currantreel/src/Settings/CheckedTable.h
@@ -42,6 +42,8 @@
     /// Milliseconds within @p range.
     Duration milliseconds(std::string_view key, Range range,
                           std::optional<std::int64_t> fallback = std::nullopt);
+    /// Seconds from @p lowest to @p highest, fractions included.
+    Duration seconds(std::string_view key, double lowest, double highest, double fallback);
     Address address(std::string_view key);
     std::vector<std::string> strings(std::string_view key, bool isRequired);
     /// Index of the string at @p key among @p choices.
--- a/currantreel/src/Settings/HostSettings.cpp
+++ b/currantreel/src/Settings/HostSettings.cpp
@@ -15,6 +15,11 @@
 constexpr Range platformPollMilliseconds{ 100, 60'000 };
 constexpr Range stopGraceMilliseconds{ 0, 600'000 };
 constexpr std::size_t shortestSecretBytes = 16;
+constexpr double mostRetryRatio = 10.0;
+constexpr double mostRetrySlack = 1e6;
+constexpr double mostRetryWindowSeconds = 600.0;
+constexpr double longestGraceSeconds = 600.0;
+constexpr double defaultGraceSeconds = 120.0;
 
 void readHost(CheckedTable table, HostSettings &settings)
 {
@@ -69,6 +74,23 @@
     table.refuseUnknownKeys();
 }
 
+ForwardSettings readForward(CheckedTable table)
+{
+    ForwardSettings forward;
+    forward.retryRatio = table.real("retry_ratio", 0.0, mostRetryRatio, forward.retryRatio);
+    forward.retrySlack = table.real("retry_slack", 0.0, mostRetrySlack, forward.retrySlack);
+    forward.retryWindow = table.seconds("retry_window_s", 0.1, mostRetryWindowSeconds, 10.0);
+    for (const std::string &text : table.strings("seeds", false)) {
+        if (const auto address = parseAddress(text))
+            forward.seeds.push_back(*address);
+        else
+            table.fault(ResultCode::SettingsBadAddress, "seeds",
+                        fmt::format("'{}' is not an IP number and a port", text));
+    }
+    table.refuseUnknownKeys();
+    return forward;
+}
+
 } // namespace
 
 std::variant<HostSettings, FaultList> parseHostSettings(std::string_view text,
@@ -83,9 +105,15 @@
     readHost(root.table("host"), settings);
     readListen(root.table("listen"), settings);
     readPlatform(root.table("platform"), settings);
-    readCluster(root.table("cluster"), settings);
+    if (root.has("forward"))
+        settings.forward = readForward(root.table("forward"));
+    else
+        readCluster(root.table("cluster"), settings);
     readLimits(root.table("limits", false), settings.limits);
-    settings.stopGrace = root.milliseconds("stop_grace_ms", stopGraceMilliseconds, 120'000);
+    settings.stopGrace = root.has("stop_grace_s")
+                             ? root.seconds("stop_grace_s", 0.0, longestGraceSeconds,
+                                            defaultGraceSeconds)
+                             : root.milliseconds("stop_grace_ms", stopGraceMilliseconds, 120'000);
     root.refuseUnknownKeys();
     if (!faults.empty())
         return faults;
--- a/currantreel/src/Settings/HostSettings.h
+++ b/currantreel/src/Settings/HostSettings.h
@@ -5,6 +5,7 @@
 #include "Address.h"
 #include "Fault.h"
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -24,6 +25,15 @@
     std::size_t keptAnswerBytes = 0; ///< Answers kept for idempotency keys, all together.
 };
 
+/// How requests of published routes are forwarded.
+struct ForwardSettings
+{
+    double retryRatio = 0.1; ///< Repeated sends for each request, of all hosts together.
+    double retrySlack = 10.0; ///< Repeated sends in a window beyond those, of all hosts together.
+    Duration retryWindow{};
+    std::vector<Address> seeds; ///< Where some hosts, of those that are known at start, take peers.
+};
+
 /// Settings of one daemon: who it is, where it listens and whom it asks.
 struct HostSettings
 {
@@ -38,6 +48,8 @@
     std::string clusterSecret; ///< Shared by all hosts; proves a peer.
     Duration stopGrace{}; ///< Longest time a planned stop waits for requests in progress.
     HostLimits limits;
+    /// Set on hosts that serve the routes which the platform publishes, in place of the model interface.
+    std::optional<ForwardSettings> forward;
 };
 
 /// Checks a settings document. @param file name used in faults.
--- a/currantreel/src/Shell/CallerFront.cpp
+++ b/currantreel/src/Shell/CallerFront.cpp
@@ -239,7 +239,7 @@
     return outgoing;
 }
 
-void CallerFront::startAttempt(Exchange &exchange, AttemptId id, const OutgoingRequest &outgoing,
+void CallerFront::startAttempt(Exchange &exchange, AttemptId id, OutgoingRequest outgoing,
                                bool isForward)
 {
     auto owned = std::make_unique<Attempt>();
@@ -253,7 +253,7 @@
     callbacks.onDone = [this, attempt] { onDone(*attempt); };
     callbacks.onFailed = [this, attempt](bool wasWritten) { onFailed(*attempt, wasWritten); };
     m_attempts.emplace(id, std::move(owned));
-    attempt->outgoing = std::make_unique<OutgoingExchange>(m_base, outgoing, std::move(callbacks));
+    attempt->outgoing = std::make_unique<OutgoingExchange>(m_base, std::move(outgoing), std::move(callbacks));
 }
 
 void CallerFront::handle(const StartAttempt &effect)
@@ -268,7 +268,7 @@
         const std::size_t slash = outgoing.path.find('/', prefix.size());
         outgoing.path = slash == std::string::npos ? "/" : outgoing.path.substr(slash);
     }
-    startAttempt(*exchange, effect.attempt, outgoing, false);
+    startAttempt(*exchange, effect.attempt, std::move(outgoing), false);
 }
 
 void CallerFront::handle(const ForwardRequest &effect)
@@ -278,7 +278,7 @@
         return;
     OutgoingRequest outgoing = outgoingOf(*exchange, effect.address);
     outgoing.headers.push_back(HttpHeader{ "Currantreel-Forwarded", m_settings->name });
-    startAttempt(*exchange, AttemptId{ forwardRange | m_nextForward++ }, outgoing, true);
+    startAttempt(*exchange, AttemptId{ forwardRange | m_nextForward++ }, std::move(outgoing), true);
 }
 
 void CallerFront::onHead(Attempt &attempt, const AnswerHead &head)
--- a/currantreel/src/Shell/CallerFront.h
+++ b/currantreel/src/Shell/CallerFront.h
@@ -62,7 +62,7 @@
     void accept(evhttp_request *request);
     void acceptKeyRequest(evhttp_request *request, const std::string &path);
     Exchange &open(evhttp_request *request);
-    void startAttempt(Exchange &exchange, AttemptId id, const OutgoingRequest &outgoing,
+    void startAttempt(Exchange &exchange, AttemptId id, OutgoingRequest outgoing,
                       bool isForward);
     OutgoingRequest outgoingOf(const Exchange &exchange, const Address &address) const;
     void onHead(Attempt &attempt, const AnswerHead &head);
--- a/currantreel/src/Shell/Daemon.cpp
+++ b/currantreel/src/Shell/Daemon.cpp
@@ -77,6 +77,7 @@
                       { "callers", toText(m_settings->callers) },
                       { "operators", toText(m_settings->operators) },
                       { "peers", toText(m_settings->peers) } });
+        m_log.flush();
         return exitListenFailed;
     }
     signal(SIGPIPE, SIG_IGN);
@@ -109,6 +110,7 @@
     for (const Effect &effect : m_world.step(now(), events))
         std::visit([this](const auto &one) { handle(one); }, effect);
     m_callers.sweep();
+    m_log.flush();
     if (m_isStopping && now() > m_stopBy)
         event_base_loopbreak(m_base.get());
 }
--- /dev/null
+++ b/currantreel/src/Shell/ForwardDaemon.cpp
@@ -0,0 +1,358 @@
+#include "ForwardDaemon.h"
+
+#include "../Settings/CheckedTable.h"
+#include <csignal>
+#include <fmt/format.h>
+#include <random>
+#include <xxhash.h>
+
+namespace currantreel {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int exitOk = 0;
+constexpr int exitListenFailed = 3;
+constexpr int exitStopTimedOut = 4;
+
+constexpr Duration tickInterval = 25ms;
+/// How often the settings file is looked at without a signal.
+constexpr Duration settingsInterval = 2s;
+/// Time after the start of a planned stop in which the platform still sends new connections here.
+constexpr Duration stopNotice = 2500ms;
+/// Part of the grace time that is left when requests in progress are given up.
+constexpr Duration stopReserve = 300ms;
+/// Hosts that are taken to repeat requests as long as nothing is known of them.
+constexpr std::size_t assumedHosts = 9;
+
+std::uint64_t drawSeed()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+std::uint64_t startedAt()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
+}
+
+std::string_view nameOf(DecisionKind kind)
+{
+    switch (kind) {
+    case DecisionKind::Chosen:
+        return "server_chosen";
+    case DecisionKind::Queued:
+        return "request_queued";
+    case DecisionKind::Refused:
+        return "request_refused";
+    case DecisionKind::Retried:
+        return "request_retried";
+    case DecisionKind::Resumed:
+        return "stream_resumed";
+    case DecisionKind::Ended:
+        return "request_ended";
+    case DecisionKind::Broken:
+        return "reply_broken_off";
+    }
+    return "request_ended";
+}
+
+std::uint64_t hashOfFile(const std::string &path)
+{
+    FaultList faults;
+    const auto text = detail::readFile(path, faults);
+    return text ? XXH3_64bits(text->data(), text->size()) : 0;
+}
+
+platform::StoreCallbacks storeCallbacks(std::function<void(const PublishedPage &)> onPage,
+                                        std::function<void(const PublishedChanges &)> onChanges,
+                                        std::function<void(ReadFailure, std::string)> onFailed)
+{
+    return { std::move(onPage), std::move(onChanges), std::move(onFailed) };
+}
+
+PublishedReaderTiming timingOf(const HostSettings &settings)
+{
+    PublishedReaderTiming timing;
+    timing.watch = settings.platformPoll;
+    return timing;
+}
+
+} // namespace
+
+ForwardDaemon::ForwardDaemon(HostSettings settings, std::string settingsPath)
+    : m_settings(std::move(settings)),
+      m_settingsPath(std::move(settingsPath)),
+      m_settingsHash(hashOfFile(m_settingsPath)),
+      m_base(event_base_new()),
+      m_log(m_settings.name, startedAt()),
+      m_system(FailureDomainId::ofName(m_settings.failureDomain), drawSeed()),
+      m_callers(m_base.get(), m_settings, m_log, m_system, [this] { pump(); }),
+      m_store(m_base.get(), m_settings.platform.front(),
+              storeCallbacks(
+                  [this](const PublishedPage &page) {
+                      setStoreReachable(true, {});
+                      apply(now(), m_reader.onPage(now(), page));
+                  },
+                  [this](const PublishedChanges &changes) {
+                      setStoreReachable(true, {});
+                      apply(now(), m_reader.onChanges(now(), changes));
+                  },
+                  [this](ReadFailure failure, const std::string &detail) {
+                      onStoreFailed(failure, detail);
+                  })),
+      m_reader(m_store, m_published, timingOf(m_settings)),
+      m_operators(m_base.get(), m_settings, m_system, [this] { return isReady(); }),
+      m_tick(event_new(m_base.get(), -1, EV_PERSIST, &ForwardDaemon::onTick, this)),
+      m_sweep(event_new(m_base.get(), -1, 0, &ForwardDaemon::onSweep, this)),
+      m_terminate(evsignal_new(m_base.get(), SIGTERM, &ForwardDaemon::onTerminate, this)),
+      m_interrupt(evsignal_new(m_base.get(), SIGINT, &ForwardDaemon::onTerminate, this)),
+      m_hangup(evsignal_new(m_base.get(), SIGHUP, &ForwardDaemon::onHangup, this))
+{
+    RetryBound bound;
+    bound.ratio = m_settings.forward->retryRatio;
+    bound.slack = m_settings.forward->retrySlack;
+    bound.window = m_settings.forward->retryWindow;
+    m_system.retries().setBound(bound);
+    m_system.retries().setHosts(assumedHosts);
+}
+
+TimePoint ForwardDaemon::now()
+{
+    const auto sinceOrigin = std::chrono::steady_clock::now().time_since_epoch();
+    return TimePoint(std::chrono::duration_cast<Duration>(sinceOrigin));
+}
+
+int ForwardDaemon::run()
+{
+    if (!m_callers.listen() || !m_operators.listen()) {
+        m_log.write("listen_failed",
+                    { { "code", std::to_string(number(ResultCode::SettingsListenFailed)) },
+                      { "callers", toText(m_settings.callers) },
+                      { "operators", toText(m_settings.operators) } });
+        return exitListenFailed;
+    }
+    signal(SIGPIPE, SIG_IGN);
+    const timeval interval = toTimeval(tickInterval);
+    event_add(m_tick.get(), &interval);
+    event_add(m_terminate.get(), nullptr);
+    event_add(m_interrupt.get(), nullptr);
+    event_add(m_hangup.get(), nullptr);
+    m_log.write("started", { { "callers", toText(m_settings.callers) },
+                             { "operators", toText(m_settings.operators) },
+                             { "failure_domain", m_settings.failureDomain } });
+    m_reader.start(now());
+    m_log.flush();
+    event_base_dispatch(m_base.get());
+    const std::size_t cutOff = m_callers.exchanges();
+    m_log.write("stopped", { { "requests_cut_off", std::to_string(cutOff) } });
+    m_log.flush();
+    return cutOff == 0 ? exitOk : exitStopTimedOut;
+}
+
+void ForwardDaemon::pump()
+{
+    if (m_isPumping)
+        return;
+    m_isPumping = true;
+    for (auto effects = m_system.takeEffects(); !effects.empty(); effects = m_system.takeEffects()) {
+        for (const ForwardEffect &effect : effects)
+            std::visit([this](const auto &one) { handle(one); }, effect);
+    }
+    m_isPumping = false;
+    event_active(m_sweep.get(), EV_TIMEOUT, 0);
+}
+
+void ForwardDaemon::onTick(int /*descriptor*/, short /*what*/, void *self)
+{
+    static_cast<ForwardDaemon *>(self)->tick();
+}
+
+void ForwardDaemon::onSweep(int /*descriptor*/, short /*what*/, void *self)
+{
+    auto *daemon = static_cast<ForwardDaemon *>(self);
+    daemon->m_callers.sweep();
+    daemon->m_log.flush();
+}
+
+void ForwardDaemon::tick()
+{
+    const TimePoint time = now();
+    m_reader.run(time);
+    apply(time, m_published.takeDueRemovals(time));
+    m_system.run(time);
+    pump();
+    checkSettingsFile(time);
+    logReadiness();
+    if (m_isStopping)
+        checkStop(time);
+    m_log.flush();
+}
+
+bool ForwardDaemon::isReady() const
+{
+    return !m_isStopping && m_system.routes().version() > 0 && m_system.directory().size() > 0;
+}
+
+void ForwardDaemon::logReadiness()
+{
+    if (isReady() == m_wasReady)
+        return;
+    m_wasReady = !m_wasReady;
+    m_log.write(m_wasReady ? "ready" : "not_ready",
+                { { "version", std::to_string(m_system.routes().version()) },
+                  { "servers", std::to_string(m_system.directory().size()) } });
+}
+
+void ForwardDaemon::onTerminate(int /*signal*/, short /*what*/, void *self)
+{
+    static_cast<ForwardDaemon *>(self)->stop();
+}
+
+void ForwardDaemon::stop()
+{
+    if (m_isStopping)
+        return;
+    m_isStopping = true;
+    m_stopStarted = now();
+    m_callers.closeAfterReplies();
+    m_log.write("stopping",
+                { { "requests_in_progress", std::to_string(m_callers.exchanges()) } });
+}
+
+void ForwardDaemon::checkStop(TimePoint time)
+{
+    const Duration since = time - m_stopStarted;
+    const bool isDone = since >= stopNotice && m_callers.exchanges() == 0;
+    if (isDone || since >= m_settings.stopGrace - stopReserve)
+        event_base_loopexit(m_base.get(), nullptr);
+}
+
+void ForwardDaemon::onHangup(int /*signal*/, short /*what*/, void *self)
+{
+    static_cast<ForwardDaemon *>(self)->reload();
+}
+
+void ForwardDaemon::checkSettingsFile(TimePoint time)
+{
+    if (time - m_settingsCheckedAt < settingsInterval)
+        return;
+    m_settingsCheckedAt = time;
+    if (hashOfFile(m_settingsPath) != m_settingsHash)
+        reload();
+}
+
+void ForwardDaemon::reload()
+{
+    m_settingsHash = hashOfFile(m_settingsPath);
+    auto loaded = loadHostSettings(m_settingsPath);
+    if (const auto *faults = std::get_if<FaultList>(&loaded)) {
+        m_log.write("reload_refused", { { "fault", toText(faults->front()) } });
+        return;
+    }
+    const auto &settings = std::get<HostSettings>(loaded);
+    if (!settings.forward) {
+        m_log.write("reload_refused", { { "fault", "the forward table is missing" } });
+        return;
+    }
+    m_settings.forward = settings.forward;
+    m_settings.stopGrace = settings.stopGrace;
+    m_log.write("reloaded",
+                { { "seeds", std::to_string(m_settings.forward->seeds.size()) } });
+}
+
+void ForwardDaemon::apply(TimePoint time, const std::vector<PublishedItem> &news)
+{
+    if (news.empty())
+        return;
+    for (const PublishedItem &item : news) {
+        std::visit([&](auto &&document) { applyDocument(time, item, document); },
+                   platform::decodeDocument(item));
+    }
+    m_system.onServersChanged(time);
+    pump();
+}
+
+void ForwardDaemon::applyDocument(TimePoint /*time*/, const PublishedItem &item,
+                                  std::shared_ptr<const RouteConfiguration> configuration)
+{
+    const CallerLimits limits = configuration->limits;
+    const std::uint64_t version = configuration->version;
+    const bool isInForce = m_system.onConfiguration(std::move(configuration));
+    if (isInForce)
+        m_callers.setLimits(limits);
+    m_log.write(isInForce ? "configuration_in_force" : "configuration_passed_over",
+                { { "version", std::to_string(version) },
+                  { "revision", std::to_string(item.revision) } });
+}
+
+void ForwardDaemon::applyDocument(TimePoint time, const PublishedItem &item,
+                                  const ServerAnnouncement &server)
+{
+    m_system.directory().announce(time, server);
+    m_log.write("server_announced", { { "instance", server.instance },
+                                      { "address", toText(server.address) },
+                                      { "leaving", server.isLeaving ? "true" : "false" },
+                                      { "revision", std::to_string(item.revision) } });
+}
+
+void ForwardDaemon::applyDocument(TimePoint /*time*/, const PublishedItem &item,
+                                  const platform::ServerWithdrawn &server)
+{
+    m_system.directory().remove(server.instance);
+    m_log.write("server_withdrawn", { { "instance", server.instance },
+                                      { "reason", server.reason },
+                                      { "revision", std::to_string(item.revision) } });
+}
+
+void ForwardDaemon::applyDocument(TimePoint /*time*/, const PublishedItem & /*item*/,
+                                  const platform::Ignored & /*ignored*/)
+{
+}
+
+void ForwardDaemon::applyDocument(TimePoint /*time*/, const PublishedItem &item, const Error &error)
+{
+    m_log.write("publication_refused", { { "code", std::to_string(number(error.code)) },
+                                         { "detail", error.detail },
+                                         { "revision", std::to_string(item.revision) } });
+}
+
+void ForwardDaemon::onStoreFailed(ReadFailure failure, const std::string &detail)
+{
+    if (failure == ReadFailure::HistoryLost)
+        m_log.write("platform_history_lost",
+                    { { "revision", std::to_string(m_published.revision()) } });
+    else
+        setStoreReachable(false, detail);
+    m_reader.onFailed(now(), failure);
+}
+
+void ForwardDaemon::setStoreReachable(bool isReachable, const std::string &detail)
+{
+    if (isReachable == m_isStoreReachable)
+        return;
+    m_isStoreReachable = isReachable;
+    m_log.write(isReachable ? "platform_reached" : "platform_lost",
+                { { "detail", detail },
+                  { "revision", std::to_string(m_published.revision()) } });
+}
+
+void ForwardDaemon::handle(const DecisionNote &note)
+{
+    m_log.write(nameOf(note.kind),
+                { { "request", note.callerId },
+                  { "route", note.route },
+                  { "server", note.instance },
+                  { "code", std::to_string(number(note.code)) },
+                  { "outcome", std::string(name(note.outcome)) },
+                  { "status", std::to_string(note.status) },
+                  { "version", std::to_string(note.version) },
+                  { "load", std::to_string(note.load) },
+                  { "waiting", std::to_string(note.waiting) },
+                  { "age_us", std::to_string(note.age.count()) } });
+}
+
+} // namespace currantreel
--- /dev/null
+++ b/currantreel/src/Shell/ForwardDaemon.h
@@ -0,0 +1,84 @@
+#ifndef CURRANTREEL_SHELL_FORWARDDAEMON_H
+#define CURRANTREEL_SHELL_FORWARDDAEMON_H
+
+#include "../Forward/PublishedReader.h"
+#include "../Forward/PublishedState.h"
+#include "ForwardFront.h"
+#include "ForwardOperators.h"
+#include <platform/PublishedDocuments.h>
+#include <platform/StoreClient.h>
+
+namespace currantreel {
+
+/// One host that serves the published routes: the forward system and what surrounds it, on one loop in
+/// one thread.
+class ForwardDaemon
+{
+public:
+    /// @param settingsPath is read again on SIGHUP and when its content changes.
+    ForwardDaemon(HostSettings settings, std::string settingsPath);
+
+    /// Listens, then runs until a planned stop has completed. Returns the process's exit status.
+    [[nodiscard]] int run();
+
+private:
+    using Reader = PublishedReader<platform::StoreClient>;
+
+    void pump();
+    void tick();
+    void stop();
+    void checkStop(TimePoint now);
+    void reload();
+    void checkSettingsFile(TimePoint now);
+    void apply(TimePoint now, const std::vector<PublishedItem> &news);
+    void applyDocument(TimePoint now, const PublishedItem &item,
+                       std::shared_ptr<const RouteConfiguration> configuration);
+    void applyDocument(TimePoint now, const PublishedItem &item, const ServerAnnouncement &server);
+    void applyDocument(TimePoint now, const PublishedItem &item,
+                       const platform::ServerWithdrawn &server);
+    void applyDocument(TimePoint now, const PublishedItem &item, const platform::Ignored &ignored);
+    void applyDocument(TimePoint now, const PublishedItem &item, const Error &error);
+    void onStoreFailed(ReadFailure failure, const std::string &detail);
+    void setStoreReachable(bool isReachable, const std::string &detail);
+    void handle(const DecisionNote &note);
+    template <typename T>
+    void handle(const T &effect)
+    {
+        m_callers.handle(effect);
+    }
+    [[nodiscard]] bool isReady() const;
+    void logReadiness();
+
+    static TimePoint now();
+    static void onTick(int descriptor, short what, void *self);
+    static void onSweep(int descriptor, short what, void *self);
+    static void onTerminate(int signal, short what, void *self);
+    static void onHangup(int signal, short what, void *self);
+
+    HostSettings m_settings;
+    std::string m_settingsPath;
+    std::uint64_t m_settingsHash = 0;
+    EventBaseHandle m_base;
+    Log m_log;
+    ForwardSystem m_system;
+    ForwardFront m_callers;
+    PublishedState m_published;
+    platform::StoreClient m_store;
+    Reader m_reader;
+    ForwardOperators m_operators;
+    EventHandle m_tick;
+    EventHandle m_sweep; ///< Frees what ended, outside of callbacks.
+    EventHandle m_terminate;
+    EventHandle m_interrupt;
+    EventHandle m_hangup;
+    TimePoint m_stopStarted;
+    TimePoint m_settingsCheckedAt;
+    bool m_isPumping = false;
+    bool m_isStopping = false;
+    bool m_isStoreReachable = false;
+    bool m_wasReady = false;
+};
+
+} // namespace currantreel
+
+#endif
--- /dev/null
+++ b/currantreel/src/Shell/ForwardFront.cpp
@@ -0,0 +1,486 @@
+#include "ForwardFront.h"
+
+#include "../Forward/ForwardTiming.h"
+#include "../Forward/NotRunPromise.h"
+#include "../Forward/RequestHead.h"
+#include "HttpReply.h"
+#include <charconv>
+#include <event2/keyvalq_struct.h>
+#include <platform/ForwardHeaders.h>
+
+namespace currantreel {
+
+namespace {
+
+/// Bytes that a caller may send ahead of its reply before its connection is no longer read.
+constexpr std::size_t readAheadBytes = 16UL * 1024;
+/// A low watermark which the buffer never reaches, so that evhttp's read callback stays silent.
+constexpr std::size_t neverReadWatermark = SIZE_MAX;
+/// Share of the idle time that a backend server states for which its connections are kept.
+constexpr int idleLimitDivisor = 2;
+constexpr int firstStatusAfterSuccess = 300;
+
+HttpHeaders headersOf(evhttp_request *request)
+{
+    HttpHeaders headers;
+    const evkeyvalq *list = evhttp_request_get_input_headers(request);
+    for (const evkeyval *header = list->tqh_first; header; header = header->next.tqe_next)
+        headers.push_back(HttpHeader{ header->key, header->value });
+    return headers;
+}
+
+bool mayHaveBody(evhttp_cmd_type method)
+{
+    return method == EVHTTP_REQ_POST || method == EVHTTP_REQ_PUT || method == EVHTTP_REQ_PATCH;
+}
+
+/// Time after which a backend server closes an unused connection, as its Keep-Alive header says.
+Duration statedIdleTime(const HttpHeaders &headers)
+{
+    constexpr std::string_view field = "timeout=";
+    const std::string_view value = headerValue(headers, "Keep-Alive");
+    const std::size_t start = value.find(field);
+    if (start == std::string_view::npos)
+        return ConnectionPool::longestIdle;
+    std::int64_t seconds = 0;
+    const std::string_view digits = value.substr(start + field.size());
+    std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    return std::chrono::seconds(seconds) / idleLimitDivisor;
+}
+
+std::string takeAll(evbuffer *buffer)
+{
+    std::string bytes(evbuffer_get_length(buffer), '\0');
+    evbuffer_remove(buffer, bytes.data(), bytes.size());
+    return bytes;
+}
+
+} // namespace
+
+/// One caller's exchange.
+struct ForwardFront::Exchange
+{
+    ForwardFront *front = nullptr;
+    RequestId id;
+    std::string callerId;
+    evhttp_request *request = nullptr; ///< Null once the caller has left or was answered.
+    evhttp_cmd_type method = EVHTTP_REQ_GET;
+    std::string target;
+    HttpHeaders headers; ///< To pass on.
+    BufferHandle body;
+    std::string lastEventId; ///< Of the last event that the caller has.
+    AttemptId relayed;
+    bool hasBegun = false; ///< The reply's head was sent.
+    bool isPaused = false; ///< The caller reads too slowly.
+};
+
+/// One exchange with a backend server.
+struct ForwardFront::Attempt
+{
+    AttemptId id;
+    RequestId request;
+    Address address;
+    AnswerHead head;
+    platform::AnswerMarks marks;
+    BufferHandle body = makeBuffer();
+    EventStreamReader events;
+    bool isEventStream = false;
+    bool isEnded = false; ///< Its end was told, or it was cancelled.
+    std::unique_ptr<OutgoingExchange> outgoing;
+
+    [[nodiscard]] AnswerStatus status() const { return { head.status, marks.saysNotRun }; }
+};
+
+ForwardFront::ForwardFront(event_base *base, const HostSettings &settings, const Log &log,
+                           ForwardSystem &system, std::function<void()> pump)
+    : m_base(base),
+      m_settings(&settings),
+      m_log(&log),
+      m_system(&system),
+      m_pump(std::move(pump)),
+      m_server(evhttp_new(base))
+{
+    evhttp_set_allowed_methods(m_server.get(), EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT
+                                                   | EVHTTP_REQ_DELETE | EVHTTP_REQ_PATCH
+                                                   | EVHTTP_REQ_HEAD | EVHTTP_REQ_OPTIONS);
+    evhttp_set_gencb(m_server.get(), &ForwardFront::onRequest, this);
+    setLimits(CallerLimits{});
+}
+
+ForwardFront::~ForwardFront() = default;
+
+TimePoint ForwardFront::now()
+{
+    const auto sinceOrigin = std::chrono::steady_clock::now().time_since_epoch();
+    return TimePoint(std::chrono::duration_cast<Duration>(sinceOrigin));
+}
+
+bool ForwardFront::listen()
+{
+    m_socket = evhttp_bind_socket_with_handle(m_server.get(), m_settings->callers.ip.c_str(),
+                                              m_settings->callers.port);
+    return m_socket != nullptr;
+}
+
+void ForwardFront::setLimits(const CallerLimits &limits)
+{
+    evhttp_set_max_body_size(m_server.get(), static_cast<ev_ssize_t>(limits.bodyBytes));
+    evhttp_set_max_headers_size(m_server.get(), static_cast<ev_ssize_t>(limits.headerBytes));
+    m_idleTimeout = limits.idleTimeout;
+    const timeval idle = toTimeval(m_idleTimeout);
+    evhttp_set_timeout_tv(m_server.get(), &idle);
+}
+
+void ForwardFront::stopListening()
+{
+    if (m_socket)
+        evhttp_del_accept_socket(m_server.get(), m_socket);
+    m_socket = nullptr;
+}
+
+ForwardFront::Exchange *ForwardFront::find(RequestId id)
+{
+    const auto found = m_exchanges.find(id);
+    return found == m_exchanges.end() ? nullptr : found->second.get();
+}
+
+ForwardFront::Attempt *ForwardFront::find(AttemptId id)
+{
+    const auto found = m_attempts.find(id);
+    return found == m_attempts.end() ? nullptr : found->second.get();
+}
+
+void ForwardFront::onRequest(evhttp_request *request, void *self)
+{
+    static_cast<ForwardFront *>(self)->accept(request);
+}
+
+void ForwardFront::accept(evhttp_request *request)
+{
+    const HttpHeaders headers = headersOf(request);
+    RequestHead head;
+    head.target = evhttp_request_get_uri(request);
+    head.headers = headers;
+    head.mayHaveBody = mayHaveBody(evhttp_request_get_command(request));
+    if (const auto fault = findHeadFault(head)) {
+        refuseHead(request, *fault);
+        return;
+    }
+    CallArrived arrival = platform::readCallerHeaders(headers);
+    arrival.host = headerValue(headers, "Host");
+    arrival.path = head.target;
+    open(request, headers, std::move(arrival));
+}
+
+void ForwardFront::refuseHead(evhttp_request *request, const std::string &fault)
+{
+    m_log->write("request_refused",
+                 { { "code", std::to_string(number(ResultCode::RequestBadHead)) },
+                   { "detail", fault } });
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
+    sendError(request, ResultCode::RequestBadHead, Outcome::NotRun, {}, fault);
+}
+
+void ForwardFront::open(evhttp_request *request, const HttpHeaders &headers, CallArrived arrival)
+{
+    auto exchange = std::make_unique<Exchange>();
+    exchange->front = this;
+    exchange->id = RequestId{ m_nextRequest++ };
+    exchange->callerId = arrival.callerId;
+    exchange->request = request;
+    exchange->method = evhttp_request_get_command(request);
+    exchange->target = arrival.path;
+    exchange->headers = platform::headersToPassOn(headers);
+    exchange->lastEventId = platform::lastEventId(headers);
+    exchange->body = makeBuffer();
+    evbuffer_add_buffer(exchange->body.get(), evhttp_request_get_input_buffer(request));
+    evhttp_connection *connection = evhttp_request_get_connection(request);
+    evhttp_connection_set_closecb(connection, &ForwardFront::onConnectionClosed, exchange.get());
+    // Reading makes a closed connection noticed at once. evhttp must not see early bytes of a next
+    // request while this one waits, since it ends the process on them; hence the watermarks.
+    bufferevent *stream = evhttp_connection_get_bufferevent(connection);
+    bufferevent_setwatermark(stream, EV_READ, neverReadWatermark, readAheadBytes);
+    bufferevent_set_timeouts(stream, nullptr, nullptr);
+    bufferevent_enable(stream, EV_READ);
+    arrival.request = exchange->id;
+    m_exchanges.emplace(exchange->id, std::move(exchange));
+    m_system->onArrived(now(), arrival);
+    m_pump();
+}
+
+void ForwardFront::onConnectionClosed(evhttp_connection * /*connection*/, void *exchange)
+{
+    auto *closed = static_cast<Exchange *>(exchange);
+    ForwardFront *front = closed->front;
+    closed->request = nullptr;
+    front->m_system->onCallerLeft(now(), closed->id);
+    front->close(closed->id);
+    front->m_pump();
+}
+
+void ForwardFront::onReplyDrained(evhttp_connection * /*connection*/, void *exchange)
+{
+    auto *drained = static_cast<Exchange *>(exchange);
+    if (!drained->isPaused)
+        return;
+    drained->isPaused = false;
+    Attempt *attempt = drained->front->find(drained->relayed);
+    if (attempt && !attempt->isEnded)
+        attempt->outgoing->setReading(true);
+}
+
+void ForwardFront::handle(const StartForward &effect)
+{
+    Exchange *exchange = find(effect.request);
+    if (!exchange)
+        return;
+    auto owned = std::make_unique<Attempt>();
+    Attempt *attempt = owned.get();
+    attempt->id = effect.attempt;
+    attempt->request = effect.request;
+    attempt->address = effect.address;
+    attempt->events = EventStreamReader(exchange->lastEventId);
+    m_attempts.emplace(effect.attempt, std::move(owned));
+
+    OutgoingRequest outgoing;
+    outgoing.address = effect.address;
+    outgoing.method = exchange->method;
+    outgoing.path = exchange->target;
+    outgoing.headers = exchange->headers;
+    platform::addAttemptHeaders(outgoing.headers, effect, exchange->lastEventId);
+    outgoing.body = exchange->body.get();
+    outgoing.keepsConnection = true;
+    // A request that may not be repeated never meets a connection that the server is about to close.
+    if (effect.isRepeatable)
+        outgoing.connection = m_pool.take(effect.address, now());
+    OutgoingCallbacks callbacks;
+    callbacks.onHead = [this, attempt](const AnswerHead &head) { onHead(*attempt, head); };
+    callbacks.onBody = [this, attempt](evbuffer *body) { onBody(*attempt, body); };
+    callbacks.onDone = [this, attempt] { onDone(*attempt); };
+    callbacks.onFailed = [this, attempt](bool wasWritten) { onFailed(*attempt, wasWritten); };
+    callbacks.onWritten = [this, attempt] { m_system->onWritten(attempt->id); };
+    attempt->outgoing =
+        std::make_unique<OutgoingExchange>(m_base, std::move(outgoing), std::move(callbacks));
+}
+
+void ForwardFront::handle(const CancelForward &effect)
+{
+    retire(effect.attempt);
+}
+
+void ForwardFront::retire(AttemptId id)
+{
+    const auto found = m_attempts.find(id);
+    if (found == m_attempts.end())
+        return;
+    found->second->isEnded = true;
+    m_retired.push_back(std::move(found->second));
+    m_attempts.erase(found);
+}
+
+void ForwardFront::onHead(Attempt &attempt, const AnswerHead &head)
+{
+    if (attempt.isEnded)
+        return;
+    attempt.head = head;
+    attempt.marks = platform::readAnswerHeaders(head.headers);
+    attempt.isEventStream =
+        head.contentType.compare(0, eventStreamType.size(), eventStreamType) == 0;
+    const Exchange *exchange = find(attempt.request);
+    if (!exchange)
+        return;
+    const bool isSuccess = head.status < firstStatusAfterSuccess;
+    const bool isOther = attempt.marks.callerId != exchange->callerId
+                         && (isSuccess || !attempt.marks.callerId.empty());
+    if (isOther)
+        fail(attempt, AttemptFailure::WrongAnswer);
+    else if (isSuccess && (!attempt.marks.hasProof || attempt.marks.isEncoded))
+        fail(attempt, AttemptFailure::Broken);
+}
+
+void ForwardFront::onBody(Attempt &attempt, evbuffer *body)
+{
+    if (attempt.isEnded)
+        return;
+    const bool isSuccess = attempt.head.status < firstStatusAfterSuccess;
+    if (!attempt.isEventStream || !isSuccess) {
+        evbuffer_add_buffer(attempt.body.get(), body);
+        return;
+    }
+    attempt.events.add(takeAll(body));
+    if (attempt.events.isOutOfOrder()) {
+        fail(attempt, AttemptFailure::Broken);
+        return;
+    }
+    if (!attempt.events.hasWhole())
+        return;
+    m_system->onEvents(now(), attempt.id, attempt.status());
+    Exchange *exchange = find(attempt.request);
+    if (exchange && exchange->relayed == attempt.id)
+        passEvents(*exchange, attempt);
+    m_pump();
+}
+
+void ForwardFront::onDone(Attempt &attempt)
+{
+    if (attempt.isEnded)
+        return;
+    if (attempt.isEventStream && attempt.events.isWithinEvent()) {
+        fail(attempt, AttemptFailure::Broken);
+        return;
+    }
+    if (HttpConnectionHandle connection = attempt.outgoing->takeConnection())
+        m_pool.keep(attempt.address, std::move(connection), now(),
+                    statedIdleTime(attempt.head.headers));
+    m_system->onAnswer(now(), attempt.id, attempt.status());
+    m_pump();
+}
+
+void ForwardFront::onFailed(Attempt &attempt, bool wasWritten)
+{
+    fail(attempt, wasWritten ? AttemptFailure::Broken : AttemptFailure::NotConnected);
+}
+
+void ForwardFront::fail(Attempt &attempt, AttemptFailure failure)
+{
+    if (attempt.isEnded)
+        return;
+    m_system->onFailed(now(), attempt.id, failure);
+    m_pump();
+}
+
+void ForwardFront::beginReply(Exchange &exchange, const Attempt &attempt)
+{
+    evkeyvalq *headers = evhttp_request_get_output_headers(exchange.request);
+    for (const HttpHeader &header : endToEndHeaders(attempt.head.headers)) {
+        if (!isSameName(header.name, "Content-Length"))
+            evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
+    }
+    if (m_isClosing)
+        evhttp_add_header(headers, "Connection", "close");
+}
+
+void ForwardFront::handle(const RelayForward &effect)
+{
+    Exchange *exchange = find(effect.request);
+    Attempt *attempt = find(effect.attempt);
+    if (!exchange || !attempt || !exchange->request)
+        return;
+    exchange->relayed = effect.attempt;
+    if (!attempt->isEventStream)
+        return;
+    if (!exchange->hasBegun) {
+        exchange->hasBegun = true;
+        beginReply(*exchange, *attempt);
+        evhttp_send_reply_start(exchange->request, attempt->head.status, nullptr);
+    }
+    passEvents(*exchange, *attempt);
+}
+
+void ForwardFront::passEvents(Exchange &exchange, Attempt &attempt)
+{
+    if (!exchange.request || !attempt.events.hasWhole())
+        return;
+    const std::string events = attempt.events.takeWhole();
+    exchange.lastEventId = attempt.events.lastId();
+    const BufferHandle chunk = makeBuffer();
+    evbuffer_add(chunk.get(), events.data(), events.size());
+    evhttp_send_reply_chunk_with_cb(exchange.request, chunk.get(), &ForwardFront::onReplyDrained,
+                                    &exchange);
+    bufferevent *stream =
+        evhttp_connection_get_bufferevent(evhttp_request_get_connection(exchange.request));
+    const std::size_t unsent = evbuffer_get_length(bufferevent_get_output(stream));
+    if (unsent > m_settings->limits.streamBufferBytes && !exchange.isPaused) {
+        exchange.isPaused = true;
+        attempt.outgoing->setReading(false);
+    }
+}
+
+void ForwardFront::detachCaller(Exchange &exchange)
+{
+    evhttp_connection *connection = evhttp_request_get_connection(exchange.request);
+    evhttp_connection_set_closecb(connection, nullptr, nullptr);
+    bufferevent *stream = evhttp_connection_get_bufferevent(connection);
+    bufferevent_setwatermark(stream, EV_READ, 0, 0);
+    const timeval idle = toTimeval(m_idleTimeout);
+    bufferevent_set_timeouts(stream, &idle, &idle);
+    exchange.request = nullptr;
+}
+
+void ForwardFront::handle(const FinishForward &effect)
+{
+    Exchange *exchange = find(effect.request);
+    Attempt *attempt = exchange ? find(exchange->relayed) : nullptr;
+    if (exchange && attempt && exchange->request) {
+        evhttp_request *request = exchange->request;
+        if (exchange->hasBegun) {
+            detachCaller(*exchange);
+            evhttp_send_reply_end(request);
+        } else {
+            beginReply(*exchange, *attempt);
+            detachCaller(*exchange);
+            const std::string events = attempt->events.takeWhole();
+            evbuffer_add(attempt->body.get(), events.data(), events.size());
+            evhttp_send_reply(request, attempt->head.status, nullptr, attempt->body.get());
+        }
+    }
+    close(effect.request);
+}
+
+void ForwardFront::handle(const RefuseForward &effect)
+{
+    Exchange *exchange = find(effect.request);
+    if (exchange && exchange->request) {
+        evhttp_request *request = exchange->request;
+        detachCaller(*exchange);
+        evkeyvalq *headers = evhttp_request_get_output_headers(request);
+        if (m_isClosing)
+            evhttp_add_header(headers, "Connection", "close");
+        HttpHeaders advice;
+        if (effect.retryAfter > Duration::zero())
+            platform::addRetryAfter(advice, effect.retryAfter);
+        for (const HttpHeader &header : advice)
+            evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
+        sendReply(request, refusalStatus(effect.code, effect.outcome), jsonType,
+                  errorBody(effect.code, effect.outcome, effect.retryAfter));
+    }
+    close(effect.request);
+}
+
+void ForwardFront::handle(const BreakForward &effect)
+{
+    Exchange *exchange = find(effect.request);
+    if (exchange && exchange->request) {
+        evhttp_connection *connection = evhttp_request_get_connection(exchange->request);
+        evhttp_connection_set_closecb(connection, nullptr, nullptr);
+        exchange->request = nullptr;
+        m_broken.push_back(connection);
+    }
+    close(effect.request);
+}
+
+void ForwardFront::close(RequestId id)
+{
+    const auto found = m_exchanges.find(id);
+    if (found == m_exchanges.end())
+        return;
+    if (found->second->request)
+        detachCaller(*found->second);
+    std::vector<AttemptId> ended;
+    for (const auto &[attempt, row] : m_attempts) {
+        if (row->request == id)
+            ended.push_back(attempt);
+    }
+    for (const AttemptId attempt : ended)
+        retire(attempt);
+    m_exchanges.erase(found);
+}
+
+void ForwardFront::sweep()
+{
+    m_retired.clear();
+    for (evhttp_connection *connection : std::exchange(m_broken, {}))
+        evhttp_connection_free(connection);
+}
+
+} // namespace currantreel
--- /dev/null
+++ b/currantreel/src/Shell/ForwardFront.h
@@ -0,0 +1,97 @@
+#ifndef CURRANTREEL_SHELL_FORWARDFRONT_H
+#define CURRANTREEL_SHELL_FORWARDFRONT_H
+
+#include "../Forward/EventStreamReader.h"
+#include "../Forward/ForwardSystem.h"
+#include "../Log/Log.h"
+#include "../Settings/HostSettings.h"
+#include "ConnectionPool.h"
+#include "EventHandles.h"
+#include "OutgoingExchange.h"
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+namespace currantreel {
+
+/// Serves callers of published routes: reads their requests, carries out what the forward system
+/// decides, and relays the answers of backend servers.
+class ForwardFront
+{
+public:
+    /// @param pump is called after each event, to carry out effects.
+    ForwardFront(event_base *base, const HostSettings &settings, const Log &log,
+                 ForwardSystem &system, std::function<void()> pump);
+    ~ForwardFront();
+    ForwardFront(const ForwardFront &) = delete;
+    ForwardFront &operator=(const ForwardFront &) = delete;
+
+    /// Starts to listen. False if the address cannot be had.
+    [[nodiscard]] bool listen();
+
+    /// Takes the limits on what callers send.
+    void setLimits(const CallerLimits &limits);
+
+    /// From now on each reply closes its connection.
+    void closeAfterReplies() { m_isClosing = true; }
+    /// Takes no new connections.
+    void stopListening();
+
+    void handle(const StartForward &effect);
+    void handle(const CancelForward &effect);
+    void handle(const RelayForward &effect);
+    void handle(const FinishForward &effect);
+    void handle(const RefuseForward &effect);
+    void handle(const BreakForward &effect);
+
+    /// Frees what has ended. Must not be called from a callback of an exchange.
+    void sweep();
+
+    [[nodiscard]] std::size_t exchanges() const { return m_exchanges.size(); }
+    [[nodiscard]] const ConnectionPool &pool() const { return m_pool; }
+
+private:
+    struct Exchange;
+    struct Attempt;
+
+    static void onRequest(evhttp_request *request, void *self);
+    static void onConnectionClosed(evhttp_connection *connection, void *exchange);
+    static void onReplyDrained(evhttp_connection *connection, void *exchange);
+
+    void accept(evhttp_request *request);
+    void refuseHead(evhttp_request *request, const std::string &fault);
+    void open(evhttp_request *request, const HttpHeaders &headers, CallArrived arrival);
+    void onHead(Attempt &attempt, const AnswerHead &head);
+    void onBody(Attempt &attempt, evbuffer *body);
+    void onDone(Attempt &attempt);
+    void onFailed(Attempt &attempt, bool wasWritten);
+    void fail(Attempt &attempt, AttemptFailure failure);
+    void passEvents(Exchange &exchange, Attempt &attempt);
+    void beginReply(Exchange &exchange, const Attempt &attempt);
+    void retire(AttemptId id);
+    void detachCaller(Exchange &exchange);
+    void close(RequestId id);
+    [[nodiscard]] Exchange *find(RequestId id);
+    [[nodiscard]] Attempt *find(AttemptId id);
+    [[nodiscard]] static TimePoint now();
+
+    event_base *m_base;
+    const HostSettings *m_settings;
+    const Log *m_log;
+    ForwardSystem *m_system;
+    std::function<void()> m_pump;
+    HttpServerHandle m_server;
+    evhttp_bound_socket *m_socket = nullptr;
+    ConnectionPool m_pool;
+    std::unordered_map<RequestId, std::unique_ptr<Exchange>> m_exchanges;
+    std::unordered_map<AttemptId, std::unique_ptr<Attempt>> m_attempts;
+    std::vector<std::unique_ptr<Attempt>> m_retired; ///< Ended; freed outside of their callbacks.
+    std::vector<evhttp_connection *> m_broken; ///< To be closed outside of callbacks.
+    std::uint64_t m_nextRequest = 1;
+    Duration m_idleTimeout{};
+    bool m_isClosing = false;
+};
+
+} // namespace currantreel
+
+#endif
--- /dev/null
+++ b/currantreel/src/Shell/ForwardOperators.cpp
@@ -0,0 +1,107 @@
+#include "ForwardOperators.h"
+
+#include "HttpReply.h"
+#include <fmt/format.h>
+#include <iterator>
+#include <nlohmann/json.hpp>
+
+namespace currantreel {
+
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusUnavailable = 503;
+constexpr std::string_view metricsText = "text/plain; version=0.0.4";
+
+} // namespace
+
+ForwardOperators::ForwardOperators(event_base *base, const HostSettings &settings,
+                                   const ForwardSystem &system, std::function<bool()> isReady)
+    : m_settings(&settings),
+      m_system(&system),
+      m_isReady(std::move(isReady)),
+      m_server(evhttp_new(base))
+{
+    evhttp_set_gencb(m_server.get(), &ForwardOperators::onRequest, this);
+}
+
+bool ForwardOperators::listen()
+{
+    return evhttp_bind_socket(m_server.get(), m_settings->operators.ip.c_str(),
+                              m_settings->operators.port)
+           == 0;
+}
+
+void ForwardOperators::onRequest(evhttp_request *request, void *self)
+{
+    static_cast<ForwardOperators *>(self)->answer(request);
+}
+
+void ForwardOperators::answer(evhttp_request *request)
+{
+    const std::string path = pathOf(request);
+    if (path == "/ready" || path == "/readyz")
+        sendReply(request, m_isReady() ? statusOk : statusUnavailable, jsonType,
+                  m_isReady() ? R"({"ready":true})" : R"({"ready":false})");
+    else if (path == "/healthz")
+        sendReply(request, statusOk, jsonType, R"({"healthy":true})");
+    else if (path == "/v1/status")
+        sendReply(request, statusOk, jsonType, statusBody());
+    else if (path == "/metrics")
+        sendReply(request, statusOk, metricsText, metricsBody());
+    else
+        sendError(request, ResultCode::RequestUnknownPath, Outcome::NotRun, {}, path);
+}
+
+std::string ForwardOperators::statusBody() const
+{
+    nlohmann::json status;
+    status["host"] = m_settings->name;
+    status["failure_domain"] = m_settings->failureDomain;
+    status["ready"] = m_isReady();
+    status["configuration"] = { { "version", m_system->routes().version() } };
+    status["requests_in_progress"] = m_system->size();
+    status["queued"] = m_system->waiting();
+    status["backend_servers"] = nlohmann::json::array();
+    for (const ForwardServer &server : m_system->directory().servers()) {
+        status["backend_servers"].push_back(
+            { { "instance", server.announced.instance },
+              { "address", toText(server.announced.address) },
+              { "leaving", server.announced.isLeaving },
+              { "own_requests", server.own.requests },
+              { "others_requests", server.others.requests },
+              { "failure_share", server.health.failureShare() } });
+    }
+    return status.dump();
+}
+
+std::string ForwardOperators::metricsBody() const
+{
+    const ForwardCounters &counters = m_system->counters();
+    std::string text;
+    const auto counter = [&text](std::string_view name, std::uint64_t value) {
+        fmt::format_to(std::back_inserter(text), "# TYPE {0} counter\n{0} {1}\n", name, value);
+    };
+    const auto gauge = [&text](std::string_view name, std::uint64_t value) {
+        fmt::format_to(std::back_inserter(text), "# TYPE {0} gauge\n{0} {1}\n", name, value);
+    };
+    counter("currantreel_requests_total", counters.arrived);
+    counter("currantreel_completed_total", counters.completed);
+    counter("currantreel_late_total", counters.late);
+    counter("currantreel_callers_left_total", counters.callersLeft);
+    counter("currantreel_attempts_total", counters.attempts);
+    counter("currantreel_retries_total", counters.repeats);
+    counter("currantreel_streams_resumed_total", counters.resumed);
+    counter("currantreel_replies_broken_off_total", counters.broken);
+    text += "# TYPE currantreel_refused_total counter\n";
+    for (const auto &[code, count] : counters.refused)
+        fmt::format_to(std::back_inserter(text), "currantreel_refused_total{{code=\"{}\"}} {}\n",
+                       number(code), count);
+    gauge("currantreel_requests_in_progress", m_system->size());
+    gauge("currantreel_requests_queued", m_system->waiting());
+    gauge("currantreel_backend_servers", m_system->directory().size());
+    gauge("currantreel_configuration_version", m_system->routes().version());
+    return text;
+}
+
+} // namespace currantreel
--- a/currantreel/src/Shell/OutgoingExchange.cpp
+++ b/currantreel/src/Shell/OutgoingExchange.cpp
@@ -1,6 +1,7 @@
 #include "OutgoingExchange.h"
 
 #include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
 
 namespace currantreel {
 
@@ -25,17 +26,22 @@
     head.retryAfter = headerOf(headers, "Retry-After");
     head.isFramed = evhttp_find_header(headers, "Content-Length") != nullptr
                     || evhttp_find_header(headers, "Transfer-Encoding") != nullptr;
+    for (const evkeyval *header = headers->tqh_first; header; header = header->next.tqe_next)
+        head.headers.push_back(HttpHeader{ header->key, header->value });
     return head;
 }
 
 } // namespace
 
-OutgoingExchange::OutgoingExchange(event_base *base, const OutgoingRequest &request,
+OutgoingExchange::OutgoingExchange(event_base *base, OutgoingRequest request,
                                    OutgoingCallbacks callbacks)
-    : m_callbacks(std::move(callbacks))
+    : m_connection(std::move(request.connection)),
+      m_callbacks(std::move(callbacks)),
+      m_isReusable(request.keepsConnection)
 {
-    m_connection.reset(evhttp_connection_base_new(base, nullptr, request.address.ip.c_str(),
-                                                  request.address.port));
+    if (!m_connection)
+        m_connection.reset(evhttp_connection_base_new(base, nullptr, request.address.ip.c_str(),
+                                                      request.address.port));
     const timeval silence =
         toTimeval(request.silence == Duration::zero() ? noSilenceLimit : request.silence);
     evhttp_connection_set_timeout_tv(m_connection.get(), &silence);
@@ -46,8 +52,10 @@
     evhttp_request_set_header_cb(outgoing, &OutgoingExchange::onHead);
     evhttp_request_set_chunked_cb(outgoing, &OutgoingExchange::onChunk);
     evkeyvalq *headers = evhttp_request_get_output_headers(outgoing);
-    evhttp_add_header(headers, "Host", toText(request.address).c_str());
-    evhttp_add_header(headers, "Connection", "close");
+    if (!findHeader(request.headers, "Host"))
+        evhttp_add_header(headers, "Host", toText(request.address).c_str());
+    if (!request.keepsConnection)
+        evhttp_add_header(headers, "Connection", "close");
     for (const HttpHeader &header : request.headers)
         evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
     if (request.body) {
@@ -60,10 +68,30 @@
 OutgoingExchange::~OutgoingExchange()
 {
     m_isEnded = true;
+    if (m_connection)
+        stopListening();
+}
+
+void OutgoingExchange::stopListening()
+{
     bufferevent *stream = evhttp_connection_get_bufferevent(m_connection.get());
     evbuffer_remove_cb(bufferevent_get_output(stream), &OutgoingExchange::onOutput, this);
 }
 
+HttpConnectionHandle OutgoingExchange::takeConnection()
+{
+    if (!m_isEnded || !m_isReusable || !m_connection)
+        return {};
+    bufferevent *stream = evhttp_connection_get_bufferevent(m_connection.get());
+    // Bytes beyond the answer would be read as the answer to the next request.
+    const bool hasSurplus = evbuffer_get_length(bufferevent_get_input(stream)) > 0;
+    const bool hasUnsent = evbuffer_get_length(bufferevent_get_output(stream)) > 0;
+    if (hasSurplus || hasUnsent)
+        return {};
+    stopListening();
+    return std::move(m_connection);
+}
+
 void OutgoingExchange::setReading(bool isOn)
 {
     if (m_isEnded)
@@ -77,15 +105,22 @@
 
 void OutgoingExchange::onOutput(evbuffer * /*buffer*/, const evbuffer_cb_info *info, void *self)
 {
-    if (info->n_deleted > 0)
-        static_cast<OutgoingExchange *>(self)->m_wasWritten = true;
+    auto *exchange = static_cast<OutgoingExchange *>(self);
+    if (info->n_deleted == 0 || exchange->m_wasWritten)
+        return;
+    exchange->m_wasWritten = true;
+    if (exchange->m_callbacks.onWritten)
+        exchange->m_callbacks.onWritten();
 }
 
 int OutgoingExchange::onHead(evhttp_request *request, void *self)
 {
     auto *exchange = static_cast<OutgoingExchange *>(self);
     exchange->m_hasHead = true;
-    exchange->m_callbacks.onHead(headOf(request));
+    const AnswerHead head = headOf(request);
+    if (!head.isFramed || isSameName(headerValue(head.headers, "Connection"), "close"))
+        exchange->m_isReusable = false;
+    exchange->m_callbacks.onHead(head);
     return 0;
 }
 
@@ -115,6 +150,7 @@
 void OutgoingExchange::fail()
 {
     m_isEnded = true;
+    m_isReusable = false;
     m_callbacks.onFailed(m_wasWritten);
 }
 
