Close unused connections at a planned stop

Unused connections now close at once, and after the notice of 3 s new requests are refused as not run. A retry goes to another server without a delay.

--- a/currantreel/src/Forward/ForwardAttempts.cpp
+++ b/currantreel/src/Forward/ForwardAttempts.cpp
@@ -93,6 +93,15 @@
     return call.route->repeat == RepeatRule::Idempotent || call.route->isResumable;
 }
 
+bool ForwardSystem::hasUntriedServer(const Call &call)
+{
+    for (const ForwardServer *server : m_directory.usable(call.service)) {
+        if (std::find(call.tried.begin(), call.tried.end(), server->id) == call.tried.end())
+            return true;
+    }
+    return false;
+}
+
 bool ForwardSystem::tryAgain(TimePoint now, Call &call, bool hasRun)
 {
     const bool isRepeat = call.sends > 0;
@@ -105,6 +114,7 @@
     if (call.hasBegun)
         ++m_counters.resumed;
     note(noteOf(now, call, call.hasBegun ? DecisionKind::Resumed : DecisionKind::Retried));
+    call.queuedUntil = std::max(call.queuedUntil, now + (call.endAt - now) / 2);
     enqueue(call);
     return true;
 }
@@ -139,7 +149,8 @@
         const AttemptId ended = call->attempt;
         settleLoad(*call);
         call->attempt = {};
-        call->retryAt = now + timing::retryDelay;
+        if (!hasUntriedServer(*call))
+            call->retryAt = now + timing::retryDelay;
         if (tryAgain(now, *call, !isNotRun)) {
             m_attempts.erase(ended);
             m_effects.emplace_back(CancelForward{ ended });
--- a/currantreel/src/Forward/ForwardSystem.h
+++ b/currantreel/src/Forward/ForwardSystem.h
@@ -113,6 +113,7 @@
     void settleRead(Call &call);
     void dropAttempt(Call &call);
     [[nodiscard]] bool mayRepeat(const Call &call, bool hasRun) const;
+    [[nodiscard]] bool hasUntriedServer(const Call &call);
     [[nodiscard]] bool tryAgain(TimePoint now, Call &call, bool hasRun);
     void giveUp(TimePoint now, Call &call, ResultCode code);
     void finish(TimePoint now, Call &call, const AnswerStatus &answer);
--- a/currantreel/src/Forward/ForwardTiming.h
+++ b/currantreel/src/Forward/ForwardTiming.h
@@ -16,7 +16,7 @@
 inline constexpr Duration shortestSilence = 800ms;
 /// Silence within a stream, as a multiple of its pause target.
 inline constexpr int silencePauses = 4;
-/// Wait before a request is sent again to a server that refused it.
+/// Wait before a request goes again to a server that failed it, where no other one is left.
 inline constexpr Duration retryDelay = 30ms;
 /// Part of the time left that a request may spend in the queue.
 inline constexpr double queuedShare = 0.5;
--- a/currantreel/src/Shell/ForwardDaemon.cpp
+++ b/currantreel/src/Shell/ForwardDaemon.cpp
@@ -20,7 +20,7 @@
 /// How often the settings file is looked at without a signal.
 constexpr Duration settingsInterval = 2s;
 /// Time after the start of a planned stop in which the platform still sends new connections here.
-constexpr Duration stopNotice = 2500ms;
+constexpr Duration stopNotice = 3000ms;
 /// Part of the grace time that is left when requests in progress are given up.
 constexpr Duration stopReserve = 300ms;
 /// Hosts that are taken to repeat requests as long as nothing is known of them.
@@ -218,7 +218,7 @@
         return;
     m_isStopping = true;
     m_stopStarted = now();
-    m_callers.closeAfterReplies();
+    m_callers.beginStop();
     m_log.write("stopping",
                 { { "requests_in_progress", std::to_string(m_callers.exchanges()) } });
 }
@@ -226,6 +226,8 @@
 void ForwardDaemon::checkStop(TimePoint time)
 {
     const Duration since = time - m_stopStarted;
+    if (since >= stopNotice)
+        m_callers.refuseNew();
     const bool isDone = since >= stopNotice && m_callers.exchanges() == 0;
     if (isDone || since >= m_settings.stopGrace - stopReserve)
         event_base_loopexit(m_base.get(), nullptr);
--- a/currantreel/src/Shell/ForwardFront.cpp
+++ b/currantreel/src/Shell/ForwardFront.cpp
@@ -131,13 +131,36 @@
     evhttp_set_timeout_tv(m_server.get(), &idle);
 }
 
-void ForwardFront::stopListening()
+void ForwardFront::beginStop()
 {
+    m_isClosing = true;
+    for (evhttp_connection *connection : std::exchange(m_unused, {})) {
+        evhttp_connection_set_closecb(connection, nullptr, nullptr);
+        evhttp_connection_free(connection);
+    }
+}
+
+void ForwardFront::refuseNew()
+{
+    m_isRefusing = true;
     if (m_socket)
         evhttp_del_accept_socket(m_server.get(), m_socket);
     m_socket = nullptr;
 }
 
+void ForwardFront::onReplySent(evhttp_request *request, void *self)
+{
+    auto *front = static_cast<ForwardFront *>(self);
+    evhttp_connection *connection = evhttp_request_get_connection(request);
+    front->m_unused.insert(connection);
+    evhttp_connection_set_closecb(connection, &ForwardFront::onUnusedClosed, front);
+}
+
+void ForwardFront::onUnusedClosed(evhttp_connection *connection, void *self)
+{
+    static_cast<ForwardFront *>(self)->m_unused.erase(connection);
+}
+
 ForwardFront::Exchange *ForwardFront::find(RequestId id)
 {
     const auto found = m_exchanges.find(id);
@@ -157,6 +180,15 @@
 
 void ForwardFront::accept(evhttp_request *request)
 {
+    evhttp_connection *connection = evhttp_request_get_connection(request);
+    m_unused.erase(connection);
+    evhttp_connection_set_closecb(connection, nullptr, nullptr);
+    evhttp_request_set_on_complete_cb(request, &ForwardFront::onReplySent, this);
+    if (m_isRefusing) {
+        evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
+        sendError(request, ResultCode::Stopping, Outcome::NotRun, timing::defaultRetryAfter);
+        return;
+    }
     const HttpHeaders headers = headersOf(request);
     RequestHead head;
     head.target = evhttp_request_get_uri(request);
--- a/currantreel/src/Shell/ForwardFront.h
+++ b/currantreel/src/Shell/ForwardFront.h
@@ -10,6 +10,7 @@
 #include "OutgoingExchange.h"
 #include <functional>
 #include <memory>
+#include <set>
 #include <unordered_map>
 
 namespace currantreel {
@@ -32,10 +33,10 @@
     /// Takes the limits on what callers send.
     void setLimits(const CallerLimits &limits);
 
-    /// From now on each reply closes its connection.
-    void closeAfterReplies() { m_isClosing = true; }
-    /// Takes no new connections.
-    void stopListening();
+    /// Starts a planned stop: unused connections are closed, and from now on each reply closes its own.
+    void beginStop();
+    /// Takes no new connections, and refuses what still arrives on open ones.
+    void refuseNew();
 
     void handle(const StartForward &effect);
     void handle(const CancelForward &effect);
@@ -57,6 +58,8 @@
     static void onRequest(evhttp_request *request, void *self);
     static void onConnectionClosed(evhttp_connection *connection, void *exchange);
     static void onReplyDrained(evhttp_connection *connection, void *exchange);
+    static void onReplySent(evhttp_request *request, void *self);
+    static void onUnusedClosed(evhttp_connection *connection, void *self);
 
     void accept(evhttp_request *request);
     void refuseHead(evhttp_request *request, const std::string &fault);
@@ -86,10 +89,12 @@
     std::unordered_map<RequestId, std::unique_ptr<Exchange>> m_exchanges;
     std::unordered_map<AttemptId, std::unique_ptr<Attempt>> m_attempts;
     std::vector<std::unique_ptr<Attempt>> m_retired; ///< Ended; freed outside of their callbacks.
+    std::set<evhttp_connection *> m_unused; ///< Callers' connections between two requests.
     std::vector<evhttp_connection *> m_broken; ///< To be closed outside of callbacks.
     std::uint64_t m_nextRequest = 1;
     Duration m_idleTimeout{};
     bool m_isClosing = false;
+    bool m_isRefusing = false;
 };
 
 } // namespace currantreel
