Finish sending replies before a planned stop ends

Ruled out: the grace time, 3.7 s of which were left. Connections that have to take the end of a reply now keep the stop waiting.

--- a/currantreel/src/Shell/ForwardDaemon.cpp
+++ b/currantreel/src/Shell/ForwardDaemon.cpp
@@ -228,7 +228,7 @@
     const Duration since = time - m_stopStarted;
     if (since >= stopNotice)
         m_callers.refuseNew();
-    const bool isDone = since >= stopNotice && m_callers.exchanges() == 0;
+    const bool isDone = since >= stopNotice && !m_callers.isBusy();
     if (isDone || since >= m_settings.stopGrace - stopReserve)
         event_base_loopexit(m_base.get(), nullptr);
 }
--- a/currantreel/src/Shell/ForwardFront.cpp
+++ b/currantreel/src/Shell/ForwardFront.cpp
@@ -152,13 +152,16 @@
 {
     auto *front = static_cast<ForwardFront *>(self);
     evhttp_connection *connection = evhttp_request_get_connection(request);
+    front->m_sending.erase(connection);
     front->m_unused.insert(connection);
-    evhttp_connection_set_closecb(connection, &ForwardFront::onUnusedClosed, front);
+    evhttp_connection_set_closecb(connection, &ForwardFront::onAnsweredClosed, front);
 }
 
-void ForwardFront::onUnusedClosed(evhttp_connection *connection, void *self)
+void ForwardFront::onAnsweredClosed(evhttp_connection *connection, void *self)
 {
-    static_cast<ForwardFront *>(self)->m_unused.erase(connection);
+    auto *front = static_cast<ForwardFront *>(self);
+    front->m_sending.erase(connection);
+    front->m_unused.erase(connection);
 }
 
 ForwardFront::Exchange *ForwardFront::find(RequestId id)
@@ -431,7 +434,8 @@
 void ForwardFront::detachCaller(Exchange &exchange)
 {
     evhttp_connection *connection = evhttp_request_get_connection(exchange.request);
-    evhttp_connection_set_closecb(connection, nullptr, nullptr);
+    m_sending.insert(connection);
+    evhttp_connection_set_closecb(connection, &ForwardFront::onAnsweredClosed, this);
     bufferevent *stream = evhttp_connection_get_bufferevent(connection);
     bufferevent_setwatermark(stream, EV_READ, 0, 0);
     const timeval idle = toTimeval(m_idleTimeout);
--- a/currantreel/src/Shell/ForwardFront.h
+++ b/currantreel/src/Shell/ForwardFront.h
@@ -49,6 +49,8 @@
     void sweep();
 
     [[nodiscard]] std::size_t exchanges() const { return m_exchanges.size(); }
+    /// True while requests are in progress or replies are not wholly sent.
+    [[nodiscard]] bool isBusy() const { return !m_exchanges.empty() || !m_sending.empty(); }
     [[nodiscard]] const ConnectionPool &pool() const { return m_pool; }
 
 private:
@@ -59,7 +61,7 @@
     static void onConnectionClosed(evhttp_connection *connection, void *exchange);
     static void onReplyDrained(evhttp_connection *connection, void *exchange);
     static void onReplySent(evhttp_request *request, void *self);
-    static void onUnusedClosed(evhttp_connection *connection, void *self);
+    static void onAnsweredClosed(evhttp_connection *connection, void *self);
 
     void accept(evhttp_request *request);
     void refuseHead(evhttp_request *request, const std::string &fault);
@@ -89,6 +91,7 @@
     std::unordered_map<RequestId, std::unique_ptr<Exchange>> m_exchanges;
     std::unordered_map<AttemptId, std::unique_ptr<Attempt>> m_attempts;
     std::vector<std::unique_ptr<Attempt>> m_retired; ///< Ended; freed outside of their callbacks.
+    std::set<evhttp_connection *> m_sending; ///< Callers' connections that have to take a reply's end.
     std::set<evhttp_connection *> m_unused; ///< Callers' connections between two requests.
     std::vector<evhttp_connection *> m_broken; ///< To be closed outside of callbacks.
     std::uint64_t m_nextRequest = 1;
