Place by subject across failure domains and keep long prompts apart

Ruled out: time to the first event (median 107 ms of 300). Each subject now prefers one engine of the whole deployment, and engines are split between long and short prompts by work.

--- a/currantreel/src/Core/Id.h
+++ b/currantreel/src/Core/Id.h
@@ -39,6 +39,7 @@
 using WorkspaceId = Id<struct WorkspaceTag>;
 using ModelId = Id<struct ModelTag>;
 using ServiceId = Id<struct ServiceTag>;
+using RouteId = Id<struct RouteTag>;
 
 /// One exchange between a caller and this host; unique within an incarnation.
 using RequestId = Id<struct RequestTag>;
--- a/currantreel/src/Forward/ForwardAttempts.cpp
+++ b/currantreel/src/Forward/ForwardAttempts.cpp
@@ -224,6 +224,8 @@
     ended.status = answer.status;
     note(std::move(ended));
     m_effects.emplace_back(FinishForward{ call.id });
+    if (call.route->hasPrompt && !call.isLongPrompt)
+        m_groups.countRunning(call.service, now, now - call.sentAt);
     m_attempts.erase(call.attempt);
     settleLoad(call);
     end(call.id);
@@ -251,7 +253,7 @@
         return;
     }
     if (call.state == State::Waiting) {
-        const bool hasServers = hasServer(m_directory, placementOf(call));
+        const bool hasServers = hasServer(m_directory, placementOf(now, call));
         if (!hasServers && !call.hasBegun && now >= call.retryAt)
             giveUp(now, call, ResultCode::NoBackendServer);
         else if (now >= call.queuedUntil)
--- a/currantreel/src/Forward/ForwardMessages.h
+++ b/currantreel/src/Forward/ForwardMessages.h
@@ -23,6 +23,7 @@
     std::string key; ///< Key of the caller's workspace; empty if it sent none.
     Duration callerTimeout{}; ///< How long the caller waits; zero if it does not say.
     Prompt prompt;
+    std::size_t bytes = 0; ///< Of the body.
 };
 
 /// Head or whole of a backend server's answer.
--- a/currantreel/src/Forward/ForwardSystem.cpp
+++ b/currantreel/src/Forward/ForwardSystem.cpp
@@ -12,6 +12,8 @@
 constexpr std::uint32_t prioritiesPerWorkspaceRank = 3;
 /// Rank of workspaces that state none.
 constexpr std::uint32_t defaultWorkspacePriority = 1;
+/// Size of an answer token on the way to the caller.
+constexpr std::size_t bytesPerAnswerToken = 16;
 /// Least urgent priority that engines know.
 constexpr std::uint32_t lowestEnginePriority = 9;
 
@@ -97,6 +99,12 @@
     call.service = RouteTable::service(*call.route, m_random());
     call.rank = rankOf(*call.route, workspace);
     call.prompt = event.prompt;
+    call.bytes = event.bytes;
+    if (call.route->hasPrompt) {
+        const auto route = RouteId::ofName(call.route->name);
+        m_groups.countPrompt(route, call.prompt.tokens);
+        call.isLongPrompt = m_groups.isLong(route);
+    }
     call.arrivedAt = now;
     call.targetAt = now + call.route->target;
     const Duration limit = shortestLimit(event.callerTimeout, call.route->timeout);
@@ -137,14 +145,21 @@
     m_queues[call.service].erase(positionOf(call));
 }
 
-PlacementRequest ForwardSystem::placementOf(const Call &call) const
+PlacementRequest ForwardSystem::placementOf(TimePoint now, const Call &call)
 {
     PlacementRequest request;
     request.service = call.service;
-    request.prompt = call.route->hasPrompt ? &call.prompt : nullptr;
     request.failureDomain = m_failureDomain;
     request.isUrgent = call.route->priority == topTier;
     request.tried = call.tried;
+    request.bytes = call.bytes + bytesPerAnswerToken * call.prompt.mostAnswerTokens;
+    if (!call.route->hasPrompt)
+        return request;
+    request.prompt = &call.prompt;
+    request.isLongPrompt = call.isLongPrompt;
+    const std::vector<ForwardServer *> &servers = m_directory.usable(call.service);
+    const std::uint32_t slots = servers.empty() ? 0 : servers.front()->announced.slots;
+    request.longServers = m_groups.longEngines(call.service, now, servers.size(), slots);
     return request;
 }
 
@@ -168,7 +183,7 @@
 
 bool ForwardSystem::dispatch(TimePoint now, Call &call)
 {
-    ForwardServer *server = chooseServer(m_directory, placementOf(call), now);
+    ForwardServer *server = chooseServer(m_directory, placementOf(now, call), now);
     if (!server)
         return false;
     send(now, call, *server);
@@ -192,6 +207,8 @@
     const std::uint32_t kept = server.cache.keptTokens(call.prompt);
     call.unread = call.prompt.tokens > kept ? call.prompt.tokens - kept : 0;
     server.cache.remember(call.prompt);
+    if (call.isLongPrompt)
+        m_groups.countReading(call.service, now, call.unread);
     server.own.requests += 1;
     server.own.unreadTokens += call.unread;
     server.own.heldTokens += call.prompt.tokens + call.prompt.mostAnswerTokens;
--- a/currantreel/src/Forward/ForwardSystem.h
+++ b/currantreel/src/Forward/ForwardSystem.h
@@ -2,6 +2,7 @@
 #define CURRANTREEL_FORWARD_FORWARDSYSTEM_H
 
 #include "../Core/Table.h"
+#include "EngineGroups.h"
 #include "ForwardCounters.h"
 #include "ForwardMessages.h"
 #include "RetryAllowance.h"
@@ -80,6 +81,8 @@
         std::string workspace;
         std::uint32_t rank = 0; ///< Lower is more urgent.
         Prompt prompt;
+        std::size_t bytes = 0; ///< Of the request.
+        bool isLongPrompt = false;
         State state = State::Waiting;
         TimePoint arrivedAt;
         TimePoint targetAt;
@@ -105,7 +108,7 @@
     void enqueue(Call &call);
     void dequeue(const Call &call);
     [[nodiscard]] QueuePosition positionOf(const Call &call) const;
-    [[nodiscard]] PlacementRequest placementOf(const Call &call) const;
+    [[nodiscard]] PlacementRequest placementOf(TimePoint now, const Call &call);
     void dispatchWaiting(TimePoint now);
     [[nodiscard]] bool dispatch(TimePoint now, Call &call);
     void send(TimePoint now, Call &call, ForwardServer &server);
@@ -129,6 +132,7 @@
     RouteTable m_routes;
     ServerDirectory m_directory;
     RetryAllowance m_retries;
+    EngineGroups m_groups;
     Table<Call> m_calls;
     std::unordered_map<AttemptId, RequestId> m_attempts;
     std::map<ServiceId, std::set<QueuePosition>> m_queues;
--- a/currantreel/src/Forward/ServerDirectory.cpp
+++ b/currantreel/src/Forward/ServerDirectory.cpp
@@ -27,6 +27,7 @@
             row.own = known->own;
         known = &m_servers.insert(std::move(row));
     }
+    m_isUsableStale = true;
     known->announced = server;
     known->coldUntil = now + server.coldLeft;
     configure(*known);
@@ -35,6 +36,7 @@
 void ServerDirectory::remove(const std::string &instance)
 {
     m_servers.remove(BackendServerId::ofName(instance));
+    m_isUsableStale = true;
 }
 
 void ServerDirectory::configure(const RouteConfiguration &configuration)
@@ -57,14 +59,39 @@
     server.cache.setCapacity(server.memoryTokens);
 }
 
-std::vector<ForwardServer *> ServerDirectory::usable(ServiceId service)
+const std::vector<ForwardServer *> &ServerDirectory::usable(ServiceId service)
 {
-    std::vector<ForwardServer *> servers;
+    if (m_isUsableStale)
+        rebuildUsable();
+    return m_usable[service];
+}
+
+void ServerDirectory::rebuildUsable()
+{
+    m_isUsableStale = false;
+    m_usable.clear();
+    std::map<std::pair<ServiceId, FailureDomainId>, std::vector<ForwardServer *>> byDomain;
     for (ForwardServer &server : m_servers) {
-        if (server.announced.service == service && !server.announced.isLeaving)
-            servers.push_back(&server);
+        if (!server.announced.isLeaving)
+            byDomain[{ server.announced.service, server.announced.failureDomain }].push_back(
+                &server);
+    }
+    std::map<ServiceId, std::vector<std::pair<std::size_t, ForwardServer *>>> turns;
+    for (auto &[place, servers] : byDomain) {
+        std::sort(servers.begin(), servers.end(),
+                  [](const ForwardServer *left, const ForwardServer *right) {
+                      return left->id < right->id;
+                  });
+        for (std::size_t turn = 0; turn < servers.size(); ++turn)
+            turns[place.first].emplace_back(turn, servers[turn]);
+    }
+    for (auto &[service, servers] : turns) {
+        std::stable_sort(
+            servers.begin(), servers.end(),
+            [](const auto &left, const auto &right) { return left.first < right.first; });
+        for (const auto &[turn, server] : servers)
+            m_usable[service].push_back(server);
     }
-    return servers;
 }
 
 void ServerDirectory::clearOthers()
--- a/currantreel/src/Forward/ServerDirectory.h
+++ b/currantreel/src/Forward/ServerDirectory.h
@@ -77,8 +77,9 @@
     [[nodiscard]] ForwardServer *find(BackendServerId id) { return m_servers.find(id); }
     [[nodiscard]] const ForwardServer *find(BackendServerId id) const { return m_servers.find(id); }
 
-    /// Servers of @p service that take new requests.
-    [[nodiscard]] std::vector<ForwardServer *> usable(ServiceId service);
+    /// Servers of @p service that take new requests, in an order that is the same on all hosts and in
+    /// which failure domains take turns. Valid until the next change of the directory.
+    [[nodiscard]] const std::vector<ForwardServer *> &usable(ServiceId service);
 
     /// Forgets what other hosts told, before their newest news are added up.
     void clearOthers();
@@ -88,8 +89,11 @@
 
 private:
     void configure(ForwardServer &server) const;
+    void rebuildUsable();
 
     Table<ForwardServer> m_servers;
+    std::map<ServiceId, std::vector<ForwardServer *>> m_usable;
+    bool m_isUsableStale = true;
     std::map<ServiceId, ForwardService> m_services;
 };
 
--- a/currantreel/src/Forward/ServerPlacement.cpp
+++ b/currantreel/src/Forward/ServerPlacement.cpp
@@ -9,18 +9,28 @@
 
 /// Cost of one request that runs at a server, in prompt tokens.
 constexpr double tokensPerRunningRequest = 60.0;
-/// Cost of leaving the failure domain, in prompt tokens.
-constexpr double tokensPerCrossing = 4'000.0;
-/// Cost of a server that is still slow after its start, or of one request too many.
+/// Cost of a kilobyte that leaves the failure domain, in prompt tokens.
+constexpr double tokensPerCrossingKilobyte = 20.0;
+/// Cost of one request more than the server has slots.
 constexpr double tokensPerQueuedRequest = 1'000.0;
+/// Cost of a server that is still slow after its start, as a factor.
 constexpr double coldFactor = 2.0;
 /// Cost per unit of recent failure share.
 constexpr double tokensPerFailureShare = 20'000.0;
+/// Weight of tokens that this request has to read: they also keep the engine from other work.
+constexpr double ownReadingWeight = 2.0;
 /// Share of the subject's tokens that the preferred server is taken to have in memory, while this host
 /// has not sent it the subject itself.
-constexpr double assumedKeptShare = 0.6;
+constexpr double assumedKeptShare = 0.9;
 /// Share of an engine's memory that lower tiers may fill.
 constexpr double lowerTierMemoryShare = 0.9;
+/// Cost of the engines that are for the other kind of prompt.
+constexpr double tokensPerShortAmongLong = 12'000.0;
+constexpr double tokensPerLongAmongShort = 6'000.0;
+/// Tokens that an engine may have to read at once before the streams beside it pause noticeably, and
+/// the cost of going beyond.
+constexpr double harmlessUnreadTokens = 12'000.0;
+constexpr double tokensPerHarm = 40'000.0;
 
 /// Rank of @p server for @p subject; the highest one is preferred.
 std::uint64_t rendezvousRank(const ForwardServer &server, std::uint64_t subject)
@@ -28,24 +38,27 @@
     return XXH3_64bits_withSeed(&server.id.value, sizeof(server.id.value), subject);
 }
 
-const ForwardServer *preferredServer(const std::vector<ForwardServer *> &servers,
+/// Servers of the group that the request belongs to.
+std::span<ForwardServer *const> groupOf(const std::vector<ForwardServer *> &servers,
+                                        const PlacementRequest &request)
+{
+    const std::span<ForwardServer *const> all(servers);
+    if (request.longServers == 0 || request.longServers >= all.size())
+        return all;
+    return request.isLongPrompt ? all.first(request.longServers)
+                                : all.subspan(request.longServers);
+}
+
+const ForwardServer *preferredServer(std::span<ForwardServer *const> group,
                                      const PlacementRequest &request)
 {
     if (!request.prompt || request.prompt->parts.empty())
         return nullptr;
     const std::uint64_t subject = request.prompt->subject();
     const ForwardServer *best = nullptr;
-    bool isBestNear = false;
-    for (const ForwardServer *server : servers) {
-        const bool isNear = server->announced.failureDomain == request.failureDomain;
-        const bool isBetter =
-            !best || (isNear && !isBestNear)
-            || (isNear == isBestNear
-                && rendezvousRank(*server, subject) > rendezvousRank(*best, subject));
-        if (isBetter) {
+    for (const ForwardServer *server : group) {
+        if (!best || rendezvousRank(*server, subject) > rendezvousRank(*best, subject))
             best = server;
-            isBestNear = isNear;
-        }
     }
     return best;
 }
@@ -76,19 +89,41 @@
     return std::max(whole - kept, 0.0);
 }
 
-double costOf(const ForwardServer &server, const PlacementRequest &request,
-              const ForwardServer *preferred, TimePoint now)
+/// What is the same for all servers in one choice.
+struct Choice
+{
+    const PlacementRequest *request;
+    const ForwardServer *preferred;
+    TimePoint now;
+};
+
+double groupCost(double backlog, bool isInGroup, const PlacementRequest &request)
 {
+    if (isInGroup)
+        return 0.0;
+    if (!request.isLongPrompt)
+        return tokensPerShortAmongLong;
+    return backlog <= harmlessUnreadTokens ? tokensPerLongAmongShort : tokensPerHarm;
+}
+
+double costOf(const ForwardServer &server, bool isInGroup, const Choice &choice)
+{
+    const PlacementRequest &request = *choice.request;
     const ServerLoad load = server.load();
-    double cost = static_cast<double>(load.unreadTokens) + unreadTokens(server, request, preferred);
+    const double own = unreadTokens(server, request, choice.preferred);
+    const double backlog = static_cast<double>(load.unreadTokens) + own;
+    double cost = static_cast<double>(load.unreadTokens) + ownReadingWeight * own;
+    cost += groupCost(backlog, isInGroup, request);
     cost += tokensPerRunningRequest * load.requests;
     const std::uint32_t slots = server.announced.slots;
     if (load.requests >= slots)
         cost += tokensPerQueuedRequest * (load.requests - slots + 1);
-    if (now < server.coldUntil)
+    if (choice.now < server.coldUntil)
         cost = cost * coldFactor + tokensPerQueuedRequest;
-    if (server.announced.failureDomain != request.failureDomain)
-        cost += tokensPerCrossing;
+    if (server.announced.failureDomain != request.failureDomain) {
+        constexpr double bytesPerKilobyte = 1'000.0;
+        cost += tokensPerCrossingKilobyte * static_cast<double>(request.bytes) / bytesPerKilobyte;
+    }
     return cost + tokensPerFailureShare * server.health.failureShare();
 }
 
@@ -97,8 +132,9 @@
 ForwardServer *chooseServer(ServerDirectory &directory, const PlacementRequest &request,
                             TimePoint now)
 {
-    const std::vector<ForwardServer *> servers = directory.usable(request.service);
-    const ForwardServer *preferred = preferredServer(servers, request);
+    const std::vector<ForwardServer *> &servers = directory.usable(request.service);
+    const auto group = groupOf(servers, request);
+    const Choice choice{ &request, preferredServer(group, request), now };
     ForwardServer *best = nullptr;
     double bestCost = 0.0;
     int bestRank = 0;
@@ -109,7 +145,8 @@
                              != request.tried.end();
         // Servers that failed this request come last, avoided ones before them.
         const int rank = isTried ? 2 : (server->health.isAvoided(now) ? 1 : 0);
-        const double cost = costOf(*server, request, preferred, now);
+        const bool isInGroup = std::find(group.begin(), group.end(), server) != group.end();
+        const double cost = costOf(*server, isInGroup, choice);
         if (!best || rank < bestRank || (rank == bestRank && cost < bestCost)) {
             best = server;
             bestCost = cost;
--- a/currantreel/src/Forward/ServerPlacement.h
+++ b/currantreel/src/Forward/ServerPlacement.h
@@ -12,6 +12,10 @@
     ServiceId service;
     const Prompt *prompt = nullptr; ///< Null for requests to plain services.
     FailureDomainId failureDomain; ///< Of this host.
+    std::size_t bytes = 0; ///< Of the request and of its expected answer.
+    bool isLongPrompt = false;
+    /// Servers at the start of the directory's order that are for long prompts; 0: no such split.
+    std::size_t longServers = 0;
     bool isUrgent = false; ///< Of the top tier: may use places that lower tiers leave free.
     std::span<const BackendServerId> tried; ///< Servers that failed the request.
 };
--- a/currantreel/src/Shell/ForwardFront.cpp
+++ b/currantreel/src/Shell/ForwardFront.cpp
@@ -204,6 +204,7 @@
     CallArrived arrival = platform::readCallerHeaders(headers);
     arrival.host = headerValue(headers, "Host");
     arrival.path = head.target;
+    arrival.bytes = evbuffer_get_length(evhttp_request_get_input_buffer(request));
     open(request, headers, std::move(arrival));
 }
 
