Hosts find each other through seeds and tell their work and what is published

A host tells up to 12 peers, within 3,000 bytes a second, its requests at each backend server and the revision of the published state that it knows; hosts that the platform does not answer get published items from those that it answers.

--- a/currantreel/src/Forward/ServerDirectory.cpp
+++ b/currantreel/src/Forward/ServerDirectory.cpp
@@ -94,10 +94,12 @@
     }
 }
 
-void ServerDirectory::clearOthers()
+void ServerDirectory::setOthers(const std::map<BackendServerId, ServerLoad> &loads)
 {
-    for (ForwardServer &server : m_servers)
-        server.others = ServerLoad{};
+    for (ForwardServer &server : m_servers) {
+        const auto found = loads.find(server.id);
+        server.others = found == loads.end() ? ServerLoad{} : found->second;
+    }
 }
 
 } // namespace currantreel
--- a/currantreel/src/Forward/ServerDirectory.h
+++ b/currantreel/src/Forward/ServerDirectory.h
@@ -6,6 +6,7 @@
 #include "PromptCache.h"
 #include "RouteConfiguration.h"
 #include "ServerHealth.h"
+#include "ServerLoad.h"
 #include <map>
 #include <string>
 #include <vector>
@@ -25,21 +26,6 @@
     std::uint64_t startedAt = 0; ///< Unix time in milliseconds; 0 if it states none.
 };
 
-/// Work at one backend server.
-struct ServerLoad
-{
-    std::uint32_t requests = 0; ///< Sent and not ended.
-    std::uint64_t unreadTokens = 0; ///< Of prompts whose answer has not begun.
-    std::uint64_t heldTokens = 0; ///< Memory that the requests need until they end.
-
-    void add(const ServerLoad &other)
-    {
-        requests += other.requests;
-        unreadTokens += other.unreadTokens;
-        heldTokens += other.heldTokens;
-    }
-};
-
 /// One backend server with what this host knows of its work.
 struct ForwardServer
 {
@@ -81,8 +67,8 @@
     /// which failure domains take turns. Valid until the next change of the directory.
     [[nodiscard]] const std::vector<ForwardServer *> &usable(ServiceId service);
 
-    /// Forgets what other hosts told, before their newest news are added up.
-    void clearOthers();
+    /// Takes over the work of all other hosts together.
+    void setOthers(const std::map<BackendServerId, ServerLoad> &loads);
 
     [[nodiscard]] std::size_t size() const { return m_servers.size(); }
     [[nodiscard]] const Table<ForwardServer> &servers() const { return m_servers; }
--- a/currantreel/src/Peer/Generated/PeerMessage_generated.h
+++ b/currantreel/src/Peer/Generated/PeerMessage_generated.h
@@ -103,6 +103,17 @@
 struct LeavingServers;
 struct LeavingServersBuilder;
 
+struct FleetLoad;
+
+struct FleetNews;
+struct FleetNewsBuilder;
+
+struct PublishedItem;
+struct PublishedItemBuilder;
+
+struct PublishedNews;
+struct PublishedNewsBuilder;
+
 struct Frame;
 struct FrameBuilder;
 
@@ -130,11 +141,13 @@
   ProbeRequest = 20,
   NewsPush = 21,
   GrantMoved = 22,
+  FleetNews = 23,
+  PublishedNews = 24,
   MIN = NONE,
-  MAX = GrantMoved
+  MAX = PublishedNews
 };
 
-inline const Body (&EnumValuesBody())[23] {
+inline const Body (&EnumValuesBody())[25] {
   static const Body values[] = {
     Body::NONE,
     Body::Greeting,
@@ -158,13 +171,15 @@
     Body::ProbeAck,
     Body::ProbeRequest,
     Body::NewsPush,
-    Body::GrantMoved
+    Body::GrantMoved,
+    Body::FleetNews,
+    Body::PublishedNews
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[24] = {
+  static const char * const names[26] = {
     "NONE",
     "Greeting",
     "Proof",
@@ -188,13 +203,15 @@
     "ProbeRequest",
     "NewsPush",
     "GrantMoved",
+    "FleetNews",
+    "PublishedNews",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::GrantMoved)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::PublishedNews)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -291,6 +308,14 @@
   static const Body enum_value = Body::GrantMoved;
 };
 
+template<> struct BodyTraits<currantreel::wire::FleetNews> {
+  static const Body enum_value = Body::FleetNews;
+};
+
+template<> struct BodyTraits<currantreel::wire::PublishedNews> {
+  static const Body enum_value = Body::PublishedNews;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -542,6 +567,51 @@
   using type = DomainLoad;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) FleetLoad FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t server_;
+  uint32_t requests_;
+  uint32_t unread_tokens_;
+  uint32_t held_tokens_;
+  int32_t padding0__;
+
+ public:
+  struct Traits;
+  FleetLoad()
+      : server_(0),
+        requests_(0),
+        unread_tokens_(0),
+        held_tokens_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  FleetLoad(uint64_t _server, uint32_t _requests, uint32_t _unread_tokens, uint32_t _held_tokens)
+      : server_(flatbuffers::EndianScalar(_server)),
+        requests_(flatbuffers::EndianScalar(_requests)),
+        unread_tokens_(flatbuffers::EndianScalar(_unread_tokens)),
+        held_tokens_(flatbuffers::EndianScalar(_held_tokens)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t server() const {
+    return flatbuffers::EndianScalar(server_);
+  }
+  uint32_t requests() const {
+    return flatbuffers::EndianScalar(requests_);
+  }
+  uint32_t unread_tokens() const {
+    return flatbuffers::EndianScalar(unread_tokens_);
+  }
+  uint32_t held_tokens() const {
+    return flatbuffers::EndianScalar(held_tokens_);
+  }
+};
+FLATBUFFERS_STRUCT_END(FleetLoad, 24);
+
+struct FleetLoad::Traits {
+  using type = FleetLoad;
+};
+
 struct GrantRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef GrantRequestBuilder Builder;
   struct Traits;
@@ -2487,6 +2557,281 @@
       servers__);
 }
 
+struct FleetNews FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef FleetNewsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PEERS = 4,
+    VT_REVISION = 6,
+    VT_READS_PLATFORM = 8,
+    VT_IS_LEAVING = 10,
+    VT_HOSTS = 12,
+    VT_LOADS = 14
+  };
+  const flatbuffers::String *peers() const {
+    return GetPointer<const flatbuffers::String *>(VT_PEERS);
+  }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  bool reads_platform() const {
+    return GetField<uint8_t>(VT_READS_PLATFORM, 0) != 0;
+  }
+  bool is_leaving() const {
+    return GetField<uint8_t>(VT_IS_LEAVING, 0) != 0;
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *hosts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_HOSTS);
+  }
+  const flatbuffers::Vector<const currantreel::wire::FleetLoad *> *loads() const {
+    return GetPointer<const flatbuffers::Vector<const currantreel::wire::FleetLoad *> *>(VT_LOADS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_PEERS) &&
+           verifier.VerifyString(peers()) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_READS_PLATFORM, 1) &&
+           VerifyField<uint8_t>(verifier, VT_IS_LEAVING, 1) &&
+           VerifyOffset(verifier, VT_HOSTS) &&
+           verifier.VerifyVector(hosts()) &&
+           verifier.VerifyVectorOfStrings(hosts()) &&
+           VerifyOffset(verifier, VT_LOADS) &&
+           verifier.VerifyVector(loads()) &&
+           verifier.EndTable();
+  }
+};
+
+struct FleetNewsBuilder {
+  typedef FleetNews Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_peers(flatbuffers::Offset<flatbuffers::String> peers) {
+    fbb_.AddOffset(FleetNews::VT_PEERS, peers);
+  }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(FleetNews::VT_REVISION, revision, 0);
+  }
+  void add_reads_platform(bool reads_platform) {
+    fbb_.AddElement<uint8_t>(FleetNews::VT_READS_PLATFORM, static_cast<uint8_t>(reads_platform), 0);
+  }
+  void add_is_leaving(bool is_leaving) {
+    fbb_.AddElement<uint8_t>(FleetNews::VT_IS_LEAVING, static_cast<uint8_t>(is_leaving), 0);
+  }
+  void add_hosts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> hosts) {
+    fbb_.AddOffset(FleetNews::VT_HOSTS, hosts);
+  }
+  void add_loads(flatbuffers::Offset<flatbuffers::Vector<const currantreel::wire::FleetLoad *>> loads) {
+    fbb_.AddOffset(FleetNews::VT_LOADS, loads);
+  }
+  explicit FleetNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<FleetNews> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<FleetNews>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<FleetNews> CreateFleetNews(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> peers = 0,
+    uint64_t revision = 0,
+    bool reads_platform = false,
+    bool is_leaving = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> hosts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const currantreel::wire::FleetLoad *>> loads = 0) {
+  FleetNewsBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  builder_.add_loads(loads);
+  builder_.add_hosts(hosts);
+  builder_.add_peers(peers);
+  builder_.add_is_leaving(is_leaving);
+  builder_.add_reads_platform(reads_platform);
+  return builder_.Finish();
+}
+
+struct FleetNews::Traits {
+  using type = FleetNews;
+  static auto constexpr Create = CreateFleetNews;
+};
+
+inline flatbuffers::Offset<FleetNews> CreateFleetNewsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *peers = nullptr,
+    uint64_t revision = 0,
+    bool reads_platform = false,
+    bool is_leaving = false,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *hosts = nullptr,
+    const std::vector<currantreel::wire::FleetLoad> *loads = nullptr) {
+  auto peers__ = peers ? _fbb.CreateString(peers) : 0;
+  auto hosts__ = hosts ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*hosts) : 0;
+  auto loads__ = loads ? _fbb.CreateVectorOfStructs<currantreel::wire::FleetLoad>(*loads) : 0;
+  return currantreel::wire::CreateFleetNews(
+      _fbb,
+      peers__,
+      revision,
+      reads_platform,
+      is_leaving,
+      hosts__,
+      loads__);
+}
+
+struct PublishedItem FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PublishedItemBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KEY = 4,
+    VT_VALUE = 6,
+    VT_REVISION = 8,
+    VT_IS_REMOVED = 10
+  };
+  const flatbuffers::String *key() const {
+    return GetPointer<const flatbuffers::String *>(VT_KEY);
+  }
+  const flatbuffers::Vector<uint8_t> *value() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_VALUE);
+  }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  bool is_removed() const {
+    return GetField<uint8_t>(VT_IS_REMOVED, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_KEY) &&
+           verifier.VerifyString(key()) &&
+           VerifyOffset(verifier, VT_VALUE) &&
+           verifier.VerifyVector(value()) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_IS_REMOVED, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct PublishedItemBuilder {
+  typedef PublishedItem Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
+    fbb_.AddOffset(PublishedItem::VT_KEY, key);
+  }
+  void add_value(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value) {
+    fbb_.AddOffset(PublishedItem::VT_VALUE, value);
+  }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(PublishedItem::VT_REVISION, revision, 0);
+  }
+  void add_is_removed(bool is_removed) {
+    fbb_.AddElement<uint8_t>(PublishedItem::VT_IS_REMOVED, static_cast<uint8_t>(is_removed), 0);
+  }
+  explicit PublishedItemBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PublishedItem> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PublishedItem>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PublishedItem> CreatePublishedItem(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value = 0,
+    uint64_t revision = 0,
+    bool is_removed = false) {
+  PublishedItemBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  builder_.add_value(value);
+  builder_.add_key(key);
+  builder_.add_is_removed(is_removed);
+  return builder_.Finish();
+}
+
+struct PublishedItem::Traits {
+  using type = PublishedItem;
+  static auto constexpr Create = CreatePublishedItem;
+};
+
+inline flatbuffers::Offset<PublishedItem> CreatePublishedItemDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *key = nullptr,
+    const std::vector<uint8_t> *value = nullptr,
+    uint64_t revision = 0,
+    bool is_removed = false) {
+  auto key__ = key ? _fbb.CreateString(key) : 0;
+  auto value__ = value ? _fbb.CreateVector<uint8_t>(*value) : 0;
+  return currantreel::wire::CreatePublishedItem(
+      _fbb,
+      key__,
+      value__,
+      revision,
+      is_removed);
+}
+
+struct PublishedNews FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PublishedNewsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ITEMS = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<currantreel::wire::PublishedItem>> *items() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<currantreel::wire::PublishedItem>> *>(VT_ITEMS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ITEMS) &&
+           verifier.VerifyVector(items()) &&
+           verifier.VerifyVectorOfTables(items()) &&
+           verifier.EndTable();
+  }
+};
+
+struct PublishedNewsBuilder {
+  typedef PublishedNews Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_items(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<currantreel::wire::PublishedItem>>> items) {
+    fbb_.AddOffset(PublishedNews::VT_ITEMS, items);
+  }
+  explicit PublishedNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PublishedNews> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PublishedNews>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PublishedNews> CreatePublishedNews(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<currantreel::wire::PublishedItem>>> items = 0) {
+  PublishedNewsBuilder builder_(_fbb);
+  builder_.add_items(items);
+  return builder_.Finish();
+}
+
+struct PublishedNews::Traits {
+  using type = PublishedNews;
+  static auto constexpr Create = CreatePublishedNews;
+};
+
+inline flatbuffers::Offset<PublishedNews> CreatePublishedNewsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<currantreel::wire::PublishedItem>> *items = nullptr) {
+  auto items__ = items ? _fbb.CreateVector<flatbuffers::Offset<currantreel::wire::PublishedItem>>(*items) : 0;
+  return currantreel::wire::CreatePublishedNews(
+      _fbb,
+      items__);
+}
+
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FrameBuilder Builder;
   struct Traits;
@@ -2575,6 +2920,12 @@
   const currantreel::wire::GrantMoved *body_as_GrantMoved() const {
     return body_type() == currantreel::wire::Body::GrantMoved ? static_cast<const currantreel::wire::GrantMoved *>(body()) : nullptr;
   }
+  const currantreel::wire::FleetNews *body_as_FleetNews() const {
+    return body_type() == currantreel::wire::Body::FleetNews ? static_cast<const currantreel::wire::FleetNews *>(body()) : nullptr;
+  }
+  const currantreel::wire::PublishedNews *body_as_PublishedNews() const {
+    return body_type() == currantreel::wire::Body::PublishedNews ? static_cast<const currantreel::wire::PublishedNews *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
@@ -2674,6 +3025,14 @@
   return body_as_GrantMoved();
 }
 
+template<> inline const currantreel::wire::FleetNews *Frame::body_as<currantreel::wire::FleetNews>() const {
+  return body_as_FleetNews();
+}
+
+template<> inline const currantreel::wire::PublishedNews *Frame::body_as<currantreel::wire::PublishedNews>() const {
+  return body_as_PublishedNews();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2813,6 +3172,14 @@
       auto ptr = reinterpret_cast<const currantreel::wire::GrantMoved *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::FleetNews: {
+      auto ptr = reinterpret_cast<const currantreel::wire::FleetNews *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::PublishedNews: {
+      auto ptr = reinterpret_cast<const currantreel::wire::PublishedNews *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/currantreel/src/Peer/PeerDecoder.cpp
+++ b/currantreel/src/Peer/PeerDecoder.cpp
@@ -24,6 +24,16 @@
 public:
     [[nodiscard]] bool isValid() const { return m_isValid; }
 
+    /// The message has a value that no correct host sends.
+    void refuse() { m_isValid = false; }
+
+    Address address(const flatbuffers::String *text)
+    {
+        const auto parsed = text ? parseAddress(text->string_view()) : std::nullopt;
+        require(parsed.has_value());
+        return parsed.value_or(Address{});
+    }
+
     GrantId grantId(const wire::GrantId *id)
     {
         require(id && id->request() != 0);
@@ -231,6 +241,49 @@
     return GrantMoved{ reader.grantId(table.id()) };
 }
 
+FleetNews decode(Reader &reader, const wire::FleetNews &table)
+{
+    FleetNews news;
+    news.peers = reader.address(table.peers());
+    news.revision = table.revision();
+    news.readsPlatform = table.reads_platform();
+    news.isLeaving = table.is_leaving();
+    if (table.hosts()) {
+        for (const flatbuffers::String *host : *table.hosts())
+            news.hosts.push_back(reader.address(host));
+    }
+    if (!isAligned(table.loads()))
+        reader.refuse();
+    if (!table.loads() || !reader.isValid())
+        return news;
+    for (const wire::FleetLoad *load : *table.loads())
+        news.loads.push_back(FleetLoad{
+            BackendServerId{ load->server() },
+            ServerLoad{ load->requests(), load->unread_tokens(), load->held_tokens() } });
+    return news;
+}
+
+PublishedNews decode(Reader &reader, const wire::PublishedNews &table)
+{
+    PublishedNews news;
+    if (!table.items())
+        return news;
+    for (const wire::PublishedItem *item : *table.items()) {
+        if (!item->key()) {
+            reader.refuse();
+            return news;
+        }
+        PublishedItem published;
+        published.key = item->key()->str();
+        if (item->value())
+            published.value.assign(item->value()->begin(), item->value()->end());
+        published.revision = item->revision();
+        published.isRemoved = item->is_removed();
+        news.items.push_back(std::move(published));
+    }
+    return news;
+}
+
 template <typename Table>
 std::optional<PeerMessage> decodeAs(const wire::Frame &frame)
 {
@@ -282,6 +335,10 @@
         return decodeAs<wire::NewsPush>(frame);
     case wire::Body::GrantMoved:
         return decodeAs<wire::GrantMoved>(frame);
+    case wire::Body::FleetNews:
+        return decodeAs<wire::FleetNews>(frame);
+    case wire::Body::PublishedNews:
+        return decodeAs<wire::PublishedNews>(frame);
     default:
         return std::nullopt;
     }
--- a/currantreel/src/Peer/PeerEncoder.cpp
+++ b/currantreel/src/Peer/PeerEncoder.cpp
@@ -156,6 +156,38 @@
     return bodyOf(wire::CreateGrantMoved(builder, &id));
 }
 
+EncodedBody encode(Builder &builder, const FleetNews &message)
+{
+    const auto peers = builder.CreateString(toText(message.peers));
+    std::vector<flatbuffers::Offset<flatbuffers::String>> hosts;
+    hosts.reserve(message.hosts.size());
+    for (const Address &host : message.hosts)
+        hosts.push_back(builder.CreateString(toText(host)));
+    std::vector<wire::FleetLoad> loads;
+    loads.reserve(message.loads.size());
+    for (const FleetLoad &load : message.loads)
+        loads.emplace_back(load.server.value, load.load.requests,
+                           static_cast<std::uint32_t>(load.load.unreadTokens),
+                           static_cast<std::uint32_t>(load.load.heldTokens));
+    const auto hostVector = builder.CreateVector(hosts);
+    const auto loadVector = builder.CreateVectorOfStructs(loads);
+    return bodyOf(wire::CreateFleetNews(builder, peers, message.revision, message.readsPlatform,
+                                        message.isLeaving, hostVector, loadVector));
+}
+
+EncodedBody encode(Builder &builder, const PublishedNews &message)
+{
+    std::vector<flatbuffers::Offset<wire::PublishedItem>> items;
+    items.reserve(message.items.size());
+    for (const PublishedItem &item : message.items) {
+        const auto key = builder.CreateString(item.key);
+        const auto value = toWire(builder, item.value);
+        items.push_back(
+            wire::CreatePublishedItem(builder, key, value, item.revision, item.isRemoved));
+    }
+    return bodyOf(wire::CreatePublishedNews(builder, builder.CreateVector(items)));
+}
+
 template <typename Message>
 concept Encodable = requires(Builder &builder, const Message &message)
 {
--- a/currantreel/src/Shell/ForwardDaemon.cpp
+++ b/currantreel/src/Shell/ForwardDaemon.cpp
@@ -105,6 +105,12 @@
                       onStoreFailed(failure, detail);
                   })),
       m_reader(m_store, m_published, timingOf(m_settings)),
+      m_fleet(m_settings.peers, drawSeed()),
+      m_peers(
+          m_base.get(), m_settings,
+          LinkIdentity{ FleetSystem::idOf(m_settings.peers), Incarnation{ startedAt() }, {} }, m_log,
+          [](HostId /*host*/) { return true; },
+          [this](Event event) { onPeerEvent(std::move(event)); }),
       m_operators(m_base.get(), m_settings, m_system, [this] { return isReady(); }),
       m_tick(event_new(m_base.get(), -1, EV_PERSIST, &ForwardDaemon::onTick, this)),
       m_sweep(event_new(m_base.get(), -1, 0, &ForwardDaemon::onSweep, this)),
@@ -118,6 +124,7 @@
     bound.window = m_settings.forward->retryWindow;
     m_system.retries().setBound(bound);
     m_system.retries().setHosts(assumedHosts);
+    m_fleet.setSeeds(m_settings.forward->seeds);
 }
 
 TimePoint ForwardDaemon::now()
@@ -128,11 +135,13 @@
 
 int ForwardDaemon::run()
 {
-    if (!m_callers.listen() || !m_operators.listen()) {
+    if (!m_callers.listen() || !m_operators.listen() || !m_peers.listen()) {
         m_log.write("listen_failed",
                     { { "code", std::to_string(number(ResultCode::SettingsListenFailed)) },
                       { "callers", toText(m_settings.callers) },
-                      { "operators", toText(m_settings.operators) } });
+                      { "operators", toText(m_settings.operators) },
+                      { "peers", toText(m_settings.peers) } });
+        m_log.flush();
         return exitListenFailed;
     }
     signal(SIGPIPE, SIG_IGN);
@@ -143,7 +152,8 @@
     event_add(m_hangup.get(), nullptr);
     m_log.write("started", { { "callers", toText(m_settings.callers) },
                              { "operators", toText(m_settings.operators) },
-                             { "failure_domain", m_settings.failureDomain } });
+                             { "failure_domain", m_settings.failureDomain },
+                             { "peers_proven", "false" } });
     m_reader.start(now());
     m_log.flush();
     event_base_dispatch(m_base.get());
@@ -183,6 +193,7 @@
     const TimePoint time = now();
     m_reader.run(time);
     apply(time, m_published.takeDueRemovals(time));
+    runFleet(time);
     m_system.run(time);
     pump();
     checkSettingsFile(time);
@@ -261,6 +272,7 @@
         return;
     }
     m_settings.forward = settings.forward;
+    m_fleet.setSeeds(m_settings.forward->seeds);
     m_settings.stopGrace = settings.stopGrace;
     m_log.write("reloaded",
                 { { "seeds", std::to_string(m_settings.forward->seeds.size()) } });
@@ -322,6 +334,45 @@
                                          { "revision", std::to_string(item.revision) } });
 }
 
+void ForwardDaemon::onPeerEvent(Event event)
+{
+    const auto *received = std::get_if<PeerMessageReceived>(&event);
+    if (!received)
+        return;
+    if (const auto *news = std::get_if<FleetNews>(&received->message))
+        m_fleet.receive(now(), received->from, *news);
+    else if (const auto *items = std::get_if<PublishedNews>(&received->message))
+        apply(now(), m_published.apply(now(), items->items));
+}
+
+FleetSelf ForwardDaemon::describeSelf() const
+{
+    FleetSelf self;
+    self.revision = m_published.revision();
+    self.readsPlatform = m_isStoreReachable;
+    self.isLeaving = m_isStopping;
+    for (const ForwardServer &server : m_system.directory().servers()) {
+        if (server.own.requests > 0)
+            self.loads.push_back(FleetLoad{ server.id, server.own });
+    }
+    return self;
+}
+
+void ForwardDaemon::runFleet(TimePoint time)
+{
+    for (const FleetOutgoing &outgoing : m_fleet.run(time, describeSelf(), m_published)) {
+        std::visit([&](const auto &message) { m_peers.send(outgoing.to, outgoing.address, message); },
+                   outgoing.message);
+    }
+    m_system.directory().setOthers(m_fleet.othersLoads(time));
+    m_system.retries().setHosts(
+        std::max(m_fleet.countedHosts(time), m_fleet.presentHosts(time) > 0 ? std::size_t{ 1 } : assumedHosts));
+    if (m_fleet.presentHosts(time) == m_presentHosts)
+        return;
+    m_presentHosts = m_fleet.presentHosts(time);
+    m_log.write("peers_changed", { { "present", std::to_string(m_presentHosts) } });
+}
+
 void ForwardDaemon::onStoreFailed(ReadFailure failure, const std::string &detail)
 {
     if (failure == ReadFailure::HistoryLost)
--- a/currantreel/src/Shell/ForwardDaemon.h
+++ b/currantreel/src/Shell/ForwardDaemon.h
@@ -1,10 +1,12 @@
 #ifndef CURRANTREEL_SHELL_FORWARDDAEMON_H
 #define CURRANTREEL_SHELL_FORWARDDAEMON_H
 
+#include "../Fleet/FleetSystem.h"
 #include "../Forward/PublishedReader.h"
 #include "../Forward/PublishedState.h"
 #include "ForwardFront.h"
 #include "ForwardOperators.h"
+#include "PeerLinks.h"
 #include <platform/PublishedDocuments.h>
 #include <platform/StoreClient.h>
 
@@ -38,6 +40,9 @@
                        const platform::ServerWithdrawn &server);
     void applyDocument(TimePoint now, const PublishedItem &item, const platform::Ignored &ignored);
     void applyDocument(TimePoint now, const PublishedItem &item, const Error &error);
+    void onPeerEvent(Event event);
+    void runFleet(TimePoint now);
+    [[nodiscard]] FleetSelf describeSelf() const;
     void onStoreFailed(ReadFailure failure, const std::string &detail);
     void setStoreReachable(bool isReachable, const std::string &detail);
     void handle(const DecisionNote &note);
@@ -65,6 +70,8 @@
     PublishedState m_published;
     platform::StoreClient m_store;
     Reader m_reader;
+    FleetSystem m_fleet;
+    PeerLinks m_peers;
     ForwardOperators m_operators;
     EventHandle m_tick;
     EventHandle m_sweep; ///< Frees what ended, outside of callbacks.
@@ -77,6 +84,7 @@
     bool m_isStopping = false;
     bool m_isStoreReachable = false;
     bool m_wasReady = false;
+    std::size_t m_presentHosts = 0; ///< As last logged.
 };
 
 } // namespace currantreel
--- a/currantreel/src/World/PeerMessage.h
+++ b/currantreel/src/World/PeerMessage.h
@@ -3,6 +3,7 @@
 
 #include "../Admission/GrantMessages.h"
 #include "../Configuration/ConfigurationMessages.h"
+#include "../Fleet/FleetMessages.h"
 #include "../Membership/MembershipMessages.h"
 #include <variant>
 
@@ -12,7 +13,8 @@
 using PeerMessage = std::variant<GrantRequest, Granted, GrantShed, GrantWithdrawn, LeaseReleased,
                                  LeaseRenewal, ConfigurationAnnounce, PatchRequest, PatchBatch,
                                  SnapshotRequest, SnapshotPart, LeavingServers, LeasePreempted,
-                                 Probe, ProbeAck, ProbeRequest, NewsPush, GrantMoved>;
+                                 Probe, ProbeAck, ProbeRequest, NewsPush, GrantMoved, FleetNews,
+                                 PublishedNews>;
 
 } // namespace currantreel
 
--- a/currantreel/src/World/World.h
+++ b/currantreel/src/World/World.h
@@ -78,6 +78,9 @@
     void receive(HostId from, const SnapshotPart &message);
     void receive(HostId from, const LeavingServers &message);
     void receive(HostId from, const GrantMoved &message);
+    // What hosts of published routes tell each other does not concern the model interface.
+    void receive(HostId /*from*/, const FleetNews & /*message*/) { }
+    void receive(HostId /*from*/, const PublishedNews & /*message*/) { }
     template <MembershipMessage Message>
     void receive(HostId from, const Message &message);
 
