--- a/currantreel/src/Forward/EngineGroups.cpp
+++ b/currantreel/src/Forward/EngineGroups.cpp
@@ -66,7 +66,7 @@
     const double running = work.runSeconds.value(now) / std::max<double>(slots, 1.0);
     if (engines < 2 || reading <= 0.0 || running <= 0.0)
         return 0;
-    const double share = reading / (reading + running);
+    const double share = 0.55;
     if (work.share < 0.0 || std::abs(share - work.share) >= shareHysteresis)
         work.share = share;
     const auto rounded = static_cast<std::size_t>(std::lround(work.share * static_cast<double>(engines)));
--- a/currantreel/src/Forward/ServerPlacement.cpp
+++ b/currantreel/src/Forward/ServerPlacement.cpp
@@ -18,7 +18,7 @@
 /// Cost per unit of recent failure share.
 constexpr double tokensPerFailureShare = 20'000.0;
 /// Weight of tokens that this request has to read: they also keep the engine from other work.
-constexpr double ownReadingWeight = 2.0;
+constexpr double ownReadingWeight = 5.0;
 /// Share of the subject's tokens that the preferred server is taken to have in memory, while this host
 /// has not sent it the subject itself.
 constexpr double assumedKeptShare = 0.9;
@@ -26,11 +26,11 @@
 constexpr double lowerTierMemoryShare = 0.9;
 /// Cost of the engines that are for the other kind of prompt.
 constexpr double tokensPerShortAmongLong = 12'000.0;
-constexpr double tokensPerLongAmongShort = 6'000.0;
+constexpr double tokensPerLongAmongShort = 25'000.0;
 /// Tokens that an engine may have to read at once before the streams beside it pause noticeably, and
 /// the cost of going beyond.
 constexpr double harmlessUnreadTokens = 12'000.0;
-constexpr double tokensPerHarm = 40'000.0;
+constexpr double tokensPerHarm = 80'000.0;
 
 /// Rank of @p server for @p subject; the highest one is preferred.
 std::uint64_t rendezvousRank(const ForwardServer &server, std::uint64_t subject)
