Split engines by the work of all hosts

Hosts tell each other the recent work of long and short prompts; each computes the split from the sum, so that they agree.

--- a/currantreel/src/Fleet/FleetMessages.h
+++ b/currantreel/src/Fleet/FleetMessages.h
@@ -2,6 +2,7 @@
 #define CURRANTREEL_FLEET_FLEETMESSAGES_H
 
 #include "../Core/Id.h"
+#include "../Forward/EngineGroups.h"
 #include "../Forward/PublishedState.h"
 #include "../Forward/ServerLoad.h"
 #include "../Settings/Address.h"
@@ -17,6 +18,13 @@
     ServerLoad load;
 };
 
+/// Recent work of the sender's requests at the engines of a service.
+struct FleetDemand
+{
+    ServiceId service;
+    EngineDemand demand;
+};
+
 /// What a host tells its peers of itself, some times a second.
 struct FleetNews
 {
@@ -26,6 +34,7 @@
     bool isLeaving = false; ///< It stops by plan.
     std::vector<Address> hosts; ///< Some other hosts that it heard from lately.
     std::vector<FleetLoad> loads;
+    std::vector<FleetDemand> demands;
 };
 
 /// Published items that the receiver seems not to know.
--- a/currantreel/src/Fleet/FleetSystem.cpp
+++ b/currantreel/src/Fleet/FleetSystem.cpp
@@ -124,6 +124,7 @@
     news.readsPlatform = self.readsPlatform;
     news.isLeaving = self.isLeaving;
     news.loads = self.loads;
+    news.demands = self.demands;
     std::vector<Address> known;
     for (const auto &[id, host] : m_hosts) {
         if (isPresent(host, now) && !host.news.isLeaving)
@@ -192,6 +193,18 @@
     return sums;
 }
 
+std::map<ServiceId, EngineDemand> FleetSystem::othersDemands(TimePoint now) const
+{
+    std::map<ServiceId, EngineDemand> sums;
+    for (const auto &[id, host] : m_hosts) {
+        if (!isPresent(host, now))
+            continue;
+        for (const FleetDemand &demand : host.news.demands)
+            sums[demand.service].add(demand.demand);
+    }
+    return sums;
+}
+
 std::size_t FleetSystem::countedHosts(TimePoint now) const
 {
     const auto counts = [now](const auto &entry) {
--- a/currantreel/src/Fleet/FleetSystem.h
+++ b/currantreel/src/Fleet/FleetSystem.h
@@ -25,6 +25,7 @@
     bool readsPlatform = false;
     bool isLeaving = false;
     std::vector<FleetLoad> loads;
+    std::vector<FleetDemand> demands;
 };
 
 /// The other hosts as this one knows them: found through seeds and through each other, each telling its
@@ -50,6 +51,9 @@
     /// Work of all other hosts that were heard lately, by backend server.
     [[nodiscard]] std::map<BackendServerId, ServerLoad> othersLoads(TimePoint now) const;
 
+    /// Recent work of all other hosts that were heard lately, by service.
+    [[nodiscard]] std::map<ServiceId, EngineDemand> othersDemands(TimePoint now) const;
+
     /// Hosts that count in shares of common bounds, this one included: those heard of within a minute.
     [[nodiscard]] std::size_t countedHosts(TimePoint now) const;
 
--- a/currantreel/src/Forward/EngineGroups.cpp
+++ b/currantreel/src/Forward/EngineGroups.cpp
@@ -8,14 +8,19 @@
 namespace {
 
 /// Time in which the memory of earlier work falls to 1/e.
-constexpr double memorySeconds = 6.0;
+constexpr double memorySeconds = 12.0;
 constexpr double newestWeight = 0.05;
 /// Prompt tokens that an engine reads in a second.
 constexpr double tokensPerSecond = 75'000.0;
 /// Weight of the reading against the running of streams: reading comes in bursts and needs more room.
-constexpr double readingWeight = 1.2;
+constexpr double readingWeight = 1.0;
+/// Bounds on the share of the engines for long prompts.
+constexpr double smallestShare = 0.3;
+constexpr double largestShare = 0.75;
+/// Work, in seconds of an engine, below which the split is not changed.
+constexpr double enoughWork = 1.0;
 /// Smallest change of the share that moves engines from one group to the other.
-constexpr double shareHysteresis = 0.08;
+constexpr double shareHysteresis = 0.12;
 
 double secondsOf(Duration time)
 {
@@ -58,19 +63,39 @@
     m_work[service].runSeconds.add(now, secondsOf(time));
 }
 
+EngineDemand EngineGroups::demandOf(ServiceId service, const Work &work, TimePoint now) const
+{
+    EngineDemand demand{ work.readTokens.value(now), work.runSeconds.value(now) };
+    const auto others = m_others.find(service);
+    if (others != m_others.end())
+        demand.add(others->second);
+    return demand;
+}
+
+std::map<ServiceId, EngineDemand> EngineGroups::demands(TimePoint now) const
+{
+    std::map<ServiceId, EngineDemand> demands;
+    for (const auto &[service, work] : m_work)
+        demands[service] = { work.readTokens.value(now), work.runSeconds.value(now) };
+    return demands;
+}
+
 std::size_t EngineGroups::longEngines(ServiceId service, TimePoint now, std::size_t engines,
                                       std::uint32_t slots)
 {
     Work &work = m_work[service];
-    const double reading = readingWeight * work.readTokens.value(now) / tokensPerSecond;
-    const double running = work.runSeconds.value(now) / std::max<double>(slots, 1.0);
-    if (engines < 2 || reading <= 0.0 || running <= 0.0)
+    const EngineDemand demand = demandOf(service, work, now);
+    if (engines < 2 || demand.readTokens <= 0.0 || demand.runSeconds <= 0.0)
         return 0;
-    const double share = 0.55;
-    if (work.share < 0.0 || std::abs(share - work.share) >= shareHysteresis)
-        work.share = share;
-    const auto rounded = static_cast<std::size_t>(std::lround(work.share * static_cast<double>(engines)));
-    return std::clamp<std::size_t>(rounded, 1, engines - 1);
+    const double reading = readingWeight * demand.readTokens / tokensPerSecond;
+    const double running = demand.runSeconds / std::max<double>(slots, 1.0);
+    if (reading + running >= enoughWork) {
+        const double share = std::clamp(reading / (reading + running), smallestShare, largestShare);
+        if (std::abs(share - work.share) >= shareHysteresis)
+            work.share = share;
+    }
+    const double wanted = work.share * static_cast<double>(engines);
+    return std::clamp<std::size_t>(static_cast<std::size_t>(std::lround(wanted)), 1, engines - 1);
 }
 
 } // namespace currantreel
--- a/currantreel/src/Forward/EngineGroups.h
+++ b/currantreel/src/Forward/EngineGroups.h
@@ -5,6 +5,7 @@
 #include "../Core/Time.h"
 #include <cstdint>
 #include <map>
+#include <utility>
 
 namespace currantreel {
 
@@ -20,11 +21,22 @@
     TimePoint m_at;
 };
 
+/// Recent work of requests at the engines of a service.
+struct EngineDemand
+{
+    double readTokens = 0.0; ///< Prompt tokens to read, of long prompts.
+    double runSeconds = 0.0; ///< Time that requests with short prompts ran.
+
+    void add(const EngineDemand &other)
+    {
+        readTokens += other.readTokens;
+        runSeconds += other.runSeconds;
+    }
+};
+
 /// Splits the engines of a service between requests with long prompts and the others, since reading a
 /// long prompt delays the events of all streams that run beside it. Each group gets engines by the
-/// share of the work that its requests are.
-///
-/// Each host decides from its own requests; callers are spread evenly enough for hosts to agree nearly.
+/// share of the work that its requests are, summed over all hosts, so that hosts agree on the split.
 class EngineGroups
 {
 public:
@@ -43,6 +55,12 @@
     /// A stream of a request with a short prompt ran for @p time.
     void countRunning(ServiceId service, TimePoint now, Duration time);
 
+    /// Recent work of this host's requests.
+    [[nodiscard]] std::map<ServiceId, EngineDemand> demands(TimePoint now) const;
+
+    /// Takes over the work of all other hosts together.
+    void setOthers(std::map<ServiceId, EngineDemand> demands) { m_others = std::move(demands); }
+
     /// Number of engines for long prompts among @p engines with @p slots each; 0 if the service has
     /// requests of one kind only.
     [[nodiscard]] std::size_t longEngines(ServiceId service, TimePoint now, std::size_t engines,
@@ -53,11 +71,16 @@
     {
         DecayingSum readTokens;
         DecayingSum runSeconds;
-        double share = -1.0; ///< Share of the engines for long prompts; negative before the first.
+        double share = initialShare; ///< Share of the engines for long prompts.
     };
 
+    static constexpr double initialShare = 0.55;
+
+    [[nodiscard]] EngineDemand demandOf(ServiceId service, const Work &work, TimePoint now) const;
+
     std::map<RouteId, double> m_promptTokens; ///< Average of a route.
     std::map<ServiceId, Work> m_work;
+    std::map<ServiceId, EngineDemand> m_others;
 };
 
 } // namespace currantreel
--- a/currantreel/src/Forward/ForwardSystem.h
+++ b/currantreel/src/Forward/ForwardSystem.h
@@ -62,6 +62,8 @@
 
     [[nodiscard]] ServerDirectory &directory() { return m_directory; }
     [[nodiscard]] const ServerDirectory &directory() const { return m_directory; }
+    [[nodiscard]] EngineGroups &groups() { return m_groups; }
+    [[nodiscard]] const EngineGroups &groups() const { return m_groups; }
     [[nodiscard]] RetryAllowance &retries() { return m_retries; }
     [[nodiscard]] const RouteTable &routes() const { return m_routes; }
     [[nodiscard]] const ForwardCounters &counters() const { return m_counters; }
--- a/currantreel/src/Peer/Generated/PeerMessage_generated.h
+++ b/currantreel/src/Peer/Generated/PeerMessage_generated.h
@@ -105,6 +105,8 @@
 
 struct FleetLoad;
 
+struct FleetDemand;
+
 struct FleetNews;
 struct FleetNewsBuilder;
 
@@ -612,6 +614,40 @@
   using type = FleetLoad;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) FleetDemand FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t service_;
+  double read_tokens_;
+  double run_seconds_;
+
+ public:
+  struct Traits;
+  FleetDemand()
+      : service_(0),
+        read_tokens_(0),
+        run_seconds_(0) {
+  }
+  FleetDemand(uint64_t _service, double _read_tokens, double _run_seconds)
+      : service_(flatbuffers::EndianScalar(_service)),
+        read_tokens_(flatbuffers::EndianScalar(_read_tokens)),
+        run_seconds_(flatbuffers::EndianScalar(_run_seconds)) {
+  }
+  uint64_t service() const {
+    return flatbuffers::EndianScalar(service_);
+  }
+  double read_tokens() const {
+    return flatbuffers::EndianScalar(read_tokens_);
+  }
+  double run_seconds() const {
+    return flatbuffers::EndianScalar(run_seconds_);
+  }
+};
+FLATBUFFERS_STRUCT_END(FleetDemand, 24);
+
+struct FleetDemand::Traits {
+  using type = FleetDemand;
+};
+
 struct GrantRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef GrantRequestBuilder Builder;
   struct Traits;
@@ -2566,7 +2602,8 @@
     VT_READS_PLATFORM = 8,
     VT_IS_LEAVING = 10,
     VT_HOSTS = 12,
-    VT_LOADS = 14
+    VT_LOADS = 14,
+    VT_DEMANDS = 16
   };
   const flatbuffers::String *peers() const {
     return GetPointer<const flatbuffers::String *>(VT_PEERS);
@@ -2586,6 +2623,9 @@
   const flatbuffers::Vector<const currantreel::wire::FleetLoad *> *loads() const {
     return GetPointer<const flatbuffers::Vector<const currantreel::wire::FleetLoad *> *>(VT_LOADS);
   }
+  const flatbuffers::Vector<const currantreel::wire::FleetDemand *> *demands() const {
+    return GetPointer<const flatbuffers::Vector<const currantreel::wire::FleetDemand *> *>(VT_DEMANDS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_PEERS) &&
@@ -2598,6 +2638,8 @@
            verifier.VerifyVectorOfStrings(hosts()) &&
            VerifyOffset(verifier, VT_LOADS) &&
            verifier.VerifyVector(loads()) &&
+           VerifyOffset(verifier, VT_DEMANDS) &&
+           verifier.VerifyVector(demands()) &&
            verifier.EndTable();
   }
 };
@@ -2624,6 +2666,9 @@
   void add_loads(flatbuffers::Offset<flatbuffers::Vector<const currantreel::wire::FleetLoad *>> loads) {
     fbb_.AddOffset(FleetNews::VT_LOADS, loads);
   }
+  void add_demands(flatbuffers::Offset<flatbuffers::Vector<const currantreel::wire::FleetDemand *>> demands) {
+    fbb_.AddOffset(FleetNews::VT_DEMANDS, demands);
+  }
   explicit FleetNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2642,9 +2687,11 @@
     bool reads_platform = false,
     bool is_leaving = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> hosts = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const currantreel::wire::FleetLoad *>> loads = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const currantreel::wire::FleetLoad *>> loads = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const currantreel::wire::FleetDemand *>> demands = 0) {
   FleetNewsBuilder builder_(_fbb);
   builder_.add_revision(revision);
+  builder_.add_demands(demands);
   builder_.add_loads(loads);
   builder_.add_hosts(hosts);
   builder_.add_peers(peers);
@@ -2665,10 +2712,12 @@
     bool reads_platform = false,
     bool is_leaving = false,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *hosts = nullptr,
-    const std::vector<currantreel::wire::FleetLoad> *loads = nullptr) {
+    const std::vector<currantreel::wire::FleetLoad> *loads = nullptr,
+    const std::vector<currantreel::wire::FleetDemand> *demands = nullptr) {
   auto peers__ = peers ? _fbb.CreateString(peers) : 0;
   auto hosts__ = hosts ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*hosts) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<currantreel::wire::FleetLoad>(*loads) : 0;
+  auto demands__ = demands ? _fbb.CreateVectorOfStructs<currantreel::wire::FleetDemand>(*demands) : 0;
   return currantreel::wire::CreateFleetNews(
       _fbb,
       peers__,
@@ -2676,7 +2725,8 @@
       reads_platform,
       is_leaving,
       hosts__,
-      loads__);
+      loads__,
+      demands__);
 }
 
 struct PublishedItem FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/currantreel/src/Peer/PeerDecoder.cpp
+++ b/currantreel/src/Peer/PeerDecoder.cpp
@@ -27,6 +27,13 @@
     /// The message has a value that no correct host sends.
     void refuse() { m_isValid = false; }
 
+    /// A sum of work.
+    double amount(double amount)
+    {
+        require(std::isfinite(amount) && amount >= 0.0);
+        return isValid() ? amount : 0.0;
+    }
+
     Address address(const flatbuffers::String *text)
     {
         const auto parsed = text ? parseAddress(text->string_view()) : std::nullopt;
@@ -252,14 +259,22 @@
         for (const flatbuffers::String *host : *table.hosts())
             news.hosts.push_back(reader.address(host));
     }
-    if (!isAligned(table.loads()))
+    if (!isAligned(table.loads()) || !isAligned(table.demands()))
         reader.refuse();
-    if (!table.loads() || !reader.isValid())
+    if (!reader.isValid())
         return news;
-    for (const wire::FleetLoad *load : *table.loads())
-        news.loads.push_back(FleetLoad{
-            BackendServerId{ load->server() },
-            ServerLoad{ load->requests(), load->unread_tokens(), load->held_tokens() } });
+    if (table.loads()) {
+        for (const wire::FleetLoad *load : *table.loads())
+            news.loads.push_back(FleetLoad{
+                BackendServerId{ load->server() },
+                ServerLoad{ load->requests(), load->unread_tokens(), load->held_tokens() } });
+    }
+    if (table.demands()) {
+        for (const wire::FleetDemand *demand : *table.demands())
+            news.demands.push_back(FleetDemand{
+                ServiceId{ demand->service() }, EngineDemand{ reader.amount(demand->read_tokens()),
+                                                              reader.amount(demand->run_seconds()) } });
+    }
     return news;
 }
 
--- a/currantreel/src/Peer/PeerEncoder.cpp
+++ b/currantreel/src/Peer/PeerEncoder.cpp
@@ -171,8 +171,14 @@
                            static_cast<std::uint32_t>(load.load.heldTokens));
     const auto hostVector = builder.CreateVector(hosts);
     const auto loadVector = builder.CreateVectorOfStructs(loads);
+    std::vector<wire::FleetDemand> demands;
+    demands.reserve(message.demands.size());
+    for (const FleetDemand &demand : message.demands)
+        demands.emplace_back(demand.service.value, demand.demand.readTokens,
+                             demand.demand.runSeconds);
+    const auto demandVector = builder.CreateVectorOfStructs(demands);
     return bodyOf(wire::CreateFleetNews(builder, peers, message.revision, message.readsPlatform,
-                                        message.isLeaving, hostVector, loadVector));
+                                        message.isLeaving, hostVector, loadVector, demandVector));
 }
 
 EncodedBody encode(Builder &builder, const PublishedNews &message)
--- a/currantreel/src/Shell/ForwardDaemon.cpp
+++ b/currantreel/src/Shell/ForwardDaemon.cpp
@@ -345,7 +345,7 @@
         apply(now(), m_published.apply(now(), items->items));
 }
 
-FleetSelf ForwardDaemon::describeSelf() const
+FleetSelf ForwardDaemon::describeSelf(TimePoint time) const
 {
     FleetSelf self;
     self.revision = m_published.revision();
@@ -355,16 +355,19 @@
         if (server.own.requests > 0)
             self.loads.push_back(FleetLoad{ server.id, server.own });
     }
+    for (const auto &[service, demand] : m_system.groups().demands(time))
+        self.demands.push_back(FleetDemand{ service, demand });
     return self;
 }
 
 void ForwardDaemon::runFleet(TimePoint time)
 {
-    for (const FleetOutgoing &outgoing : m_fleet.run(time, describeSelf(), m_published)) {
+    for (const FleetOutgoing &outgoing : m_fleet.run(time, describeSelf(time), m_published)) {
         std::visit([&](const auto &message) { m_peers.send(outgoing.to, outgoing.address, message); },
                    outgoing.message);
     }
     m_system.directory().setOthers(m_fleet.othersLoads(time));
+    m_system.groups().setOthers(m_fleet.othersDemands(time));
     m_system.retries().setHosts(
         std::max(m_fleet.countedHosts(time), m_fleet.presentHosts(time) > 0 ? std::size_t{ 1 } : assumedHosts));
     if (m_fleet.presentHosts(time) == m_presentHosts)
--- a/currantreel/src/Shell/ForwardDaemon.h
+++ b/currantreel/src/Shell/ForwardDaemon.h
@@ -42,7 +42,7 @@
     void applyDocument(TimePoint now, const PublishedItem &item, const Error &error);
     void onPeerEvent(Event event);
     void runFleet(TimePoint now);
-    [[nodiscard]] FleetSelf describeSelf() const;
+    [[nodiscard]] FleetSelf describeSelf(TimePoint now) const;
     void onStoreFailed(ReadFailure failure, const std::string &detail);
     void setStoreReachable(bool isReachable, const std::string &detail);
     void handle(const DecisionNote &note);
