Test the forwarding path; read news of idle hosts; end a stop cleanly

Found by them: - news without loads were refused as malformed, which closed the link: an empty vector of structs is not aligned (every host that starts while the platform is down stayed without configuration); - a reply that began before a planned stop kept its connection, and freeing the server at exit used tables that were gone (abort). Requests sent ahead on one connection are all answered, three in one packet.

--- a/apps/ToolHttp.cpp
+++ b/apps/ToolHttp.cpp
@@ -25,7 +25,7 @@
         event_base_loopbreak(base.get());
     };
     callbacks.onFailed = [&](bool) { event_base_loopbreak(base.get()); };
-    const OutgoingExchange exchange(base.get(), request, std::move(callbacks));
+    const OutgoingExchange exchange(base.get(), std::move(request), std::move(callbacks));
     event_base_dispatch(base.get());
     if (!isWhole)
         return Error{ ResultCode::ToolHostUnreachable, toText(address) };
--- a/currantreel/src/Fleet/FleetSystem.cpp
+++ b/currantreel/src/Fleet/FleetSystem.cpp
@@ -35,12 +35,14 @@
 
 std::vector<PublishedItem> firstItems(std::vector<PublishedItem> items)
 {
-    std::sort(items.begin(), items.end(), [](const PublishedItem &left, const PublishedItem &right) {
-        return left.revision < right.revision;
-    });
+    std::sort(items.begin(), items.end(),
+              [](const PublishedItem &left, const PublishedItem &right) {
+                  return left.revision < right.revision;
+              });
     std::size_t bytes = 0;
     std::size_t count = 0;
-    while (count < items.size() && (count == 0 || bytes + items[count].value.size() < mostItemBytes))
+    while (count < items.size()
+           && (count == 0 || bytes + items[count].value.size() < mostItemBytes))
         bytes += items[count++].value.size();
     items.resize(count);
     return items;
@@ -171,8 +173,7 @@
                          + addressBytes * static_cast<double>(news.hosts.size());
     const std::chrono::duration<double> interval(bytes * static_cast<double>(to.size())
                                                  / bytesPerSecond);
-    m_nextNewsAt =
-        now + std::max(shortestInterval, std::chrono::duration_cast<Duration>(interval));
+    m_nextNewsAt = now + std::max(shortestInterval, std::chrono::duration_cast<Duration>(interval));
     std::erase_if(m_hosts, [now](const auto &entry) {
         const Host &host = entry.second;
         const TimePoint known = std::max(host.namedAt, host.heardAt);
@@ -211,8 +212,7 @@
         const Host &host = entry.second;
         return !host.isHeard || now - host.heardAt < countedFor;
     };
-    return 1
-           + static_cast<std::size_t>(std::count_if(m_hosts.begin(), m_hosts.end(), counts));
+    return 1 + static_cast<std::size_t>(std::count_if(m_hosts.begin(), m_hosts.end(), counts));
 }
 
 std::size_t FleetSystem::presentHosts(TimePoint now) const
--- a/currantreel/src/Forward/ForwardAttempts.cpp
+++ b/currantreel/src/Forward/ForwardAttempts.cpp
@@ -165,8 +165,7 @@
         finish(now, *call, answer);
         return;
     }
-    giveUp(now, *call,
-           isNotRun ? ResultCode::BackendServersBusy : ResultCode::BackendServerLost);
+    giveUp(now, *call, isNotRun ? ResultCode::BackendServersBusy : ResultCode::BackendServerLost);
 }
 
 void ForwardSystem::onFailed(TimePoint now, AttemptId attempt, AttemptFailure failure)
@@ -191,8 +190,7 @@
         dispatchWaiting(now);
         return;
     }
-    giveUp(now, *call,
-           wasWritten ? ResultCode::BackendServerLost : ResultCode::NoBackendServer);
+    giveUp(now, *call, wasWritten ? ResultCode::BackendServerLost : ResultCode::NoBackendServer);
 }
 
 void ForwardSystem::giveUp(TimePoint now, Call &call, ResultCode code)
--- a/currantreel/src/Forward/ForwardSystem.cpp
+++ b/currantreel/src/Forward/ForwardSystem.cpp
@@ -109,8 +109,7 @@
     call.targetAt = now + call.route->target;
     const Duration limit = shortestLimit(event.callerTimeout, call.route->timeout);
     call.endAt = now + limit;
-    call.queuedUntil =
-        now + std::chrono::duration_cast<Duration>(limit * timing::queuedShare);
+    call.queuedUntil = now + std::chrono::duration_cast<Duration>(limit * timing::queuedShare);
     return true;
 }
 
--- a/currantreel/src/Forward/Prompt.h
+++ b/currantreel/src/Forward/Prompt.h
@@ -16,7 +16,8 @@
 /// What a request for a model engine says of its size.
 struct Prompt
 {
-    std::vector<PromptPart> parts; ///< In the order of the prompt; the last one is the request's own.
+    std::vector<PromptPart>
+        parts; ///< In the order of the prompt; the last one is the request's own.
     std::uint32_t tokens = 0; ///< The whole prompt.
     std::uint32_t mostAnswerTokens = 0;
 
--- a/currantreel/src/Forward/PublishedReader.h
+++ b/currantreel/src/Forward/PublishedReader.h
@@ -6,8 +6,8 @@
 #include <concepts>
 #include <functional>
 #include <optional>
-#include <utility>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace currantreel {
--- a/currantreel/src/Forward/PublishedState.cpp
+++ b/currantreel/src/Forward/PublishedState.cpp
@@ -16,8 +16,7 @@
         return;
     if (held != m_held.end() && held->second.revision >= item.revision)
         return;
-    if (item.isRemoved && now < m_holdUntil && known != m_items.end()
-        && !known->second.isRemoved) {
+    if (item.isRemoved && now < m_holdUntil && known != m_items.end() && !known->second.isRemoved) {
         m_held[item.key] = item;
         return;
     }
--- a/currantreel/src/Forward/RequestHead.cpp
+++ b/currantreel/src/Forward/RequestHead.cpp
@@ -10,9 +10,9 @@
 namespace {
 
 constexpr std::array<std::string_view, 9> hopByHopNames{
-    "Connection", "Keep-Alive",        "Proxy-Authenticate", "Proxy-Authorization",
-    "TE",         "Trailer",           "Transfer-Encoding",  "Upgrade",
-    "Expect",
+    "Connection",          "Keep-Alive", "Proxy-Authenticate",
+    "Proxy-Authorization", "TE",         "Trailer",
+    "Transfer-Encoding",   "Upgrade",    "Expect",
 };
 
 bool isTokenCharacter(char character)
@@ -86,7 +86,8 @@
     if (count(head.headers, "Transfer-Encoding") > 1
         || (isChunked && !isSameName(headerValue(head.headers, "Transfer-Encoding"), "chunked")))
         return "the transfer coding is not chunked alone";
-    const bool hasBody = isChunked || (lengths == 1 && length.find_first_not_of('0') != std::string::npos);
+    const bool hasBody =
+        isChunked || (lengths == 1 && length.find_first_not_of('0') != std::string::npos);
     if (hasBody && !head.mayHaveBody)
         return "a request of this method has a body";
     return std::nullopt;
--- a/currantreel/src/Forward/ServerDirectory.cpp
+++ b/currantreel/src/Forward/ServerDirectory.cpp
@@ -86,9 +86,9 @@
             turns[place.first].emplace_back(turn, servers[turn]);
     }
     for (auto &[service, servers] : turns) {
-        std::stable_sort(
-            servers.begin(), servers.end(),
-            [](const auto &left, const auto &right) { return left.first < right.first; });
+        std::stable_sort(servers.begin(), servers.end(), [](const auto &left, const auto &right) {
+            return left.first < right.first;
+        });
         for (const auto &[turn, server] : servers)
             m_usable[service].push_back(server);
     }
--- a/currantreel/src/Forward/ServerPlacement.cpp
+++ b/currantreel/src/Forward/ServerPlacement.cpp
@@ -45,8 +45,7 @@
     const std::span<ForwardServer *const> all(servers);
     if (request.longServers == 0 || request.longServers >= all.size())
         return all;
-    return request.isLongPrompt ? all.first(request.longServers)
-                                : all.subspan(request.longServers);
+    return request.isLongPrompt ? all.first(request.longServers) : all.subspan(request.longServers);
 }
 
 const ForwardServer *preferredServer(std::span<ForwardServer *const> group,
--- a/currantreel/src/Peer/PeerDecoder.cpp
+++ b/currantreel/src/Peer/PeerDecoder.cpp
@@ -271,9 +271,10 @@
     }
     if (table.demands()) {
         for (const wire::FleetDemand *demand : *table.demands())
-            news.demands.push_back(FleetDemand{
-                ServiceId{ demand->service() }, EngineDemand{ reader.amount(demand->read_tokens()),
-                                                              reader.amount(demand->run_seconds()) } });
+            news.demands.push_back(
+                FleetDemand{ ServiceId{ demand->service() },
+                             EngineDemand{ reader.amount(demand->read_tokens()),
+                                           reader.amount(demand->run_seconds()) } });
     }
     return news;
 }
--- a/currantreel/src/Peer/WireVector.h
+++ b/currantreel/src/Peer/WireVector.h
@@ -11,13 +11,15 @@
 template <typename Struct>
 [[nodiscard]] bool isAligned(const flatbuffers::Vector<const Struct *> *items)
 {
-    return !items || reinterpret_cast<std::uintptr_t>(items->Data()) % alignof(Struct) == 0;
+    return !items || items->size() == 0
+           || reinterpret_cast<std::uintptr_t>(items->Data()) % alignof(Struct) == 0;
 }
 
 /// @copydoc isAligned
 [[nodiscard]] inline bool isAligned(const flatbuffers::Vector<std::uint64_t> *items)
 {
-    return !items || reinterpret_cast<std::uintptr_t>(items->Data()) % alignof(std::uint64_t) == 0;
+    return !items || items->size() == 0
+           || reinterpret_cast<std::uintptr_t>(items->Data()) % alignof(std::uint64_t) == 0;
 }
 
 } // namespace currantreel::detail
--- a/currantreel/src/Settings/CheckedTable.cpp
+++ b/currantreel/src/Settings/CheckedTable.cpp
@@ -116,8 +116,7 @@
     return std::chrono::milliseconds(integer(key, range, fallback));
 }
 
-Duration CheckedTable::seconds(std::string_view key, double lowest, double highest,
-                               double fallback)
+Duration CheckedTable::seconds(std::string_view key, double lowest, double highest, double fallback)
 {
     const std::chrono::duration<double> time(real(key, lowest, highest, fallback));
     return std::chrono::duration_cast<Duration>(time);
--- a/currantreel/src/Settings/HostSettings.cpp
+++ b/currantreel/src/Settings/HostSettings.cpp
@@ -110,10 +110,10 @@
     else
         readCluster(root.table("cluster"), settings);
     readLimits(root.table("limits", false), settings.limits);
-    settings.stopGrace = root.has("stop_grace_s")
-                             ? root.seconds("stop_grace_s", 0.0, longestGraceSeconds,
-                                            defaultGraceSeconds)
-                             : root.milliseconds("stop_grace_ms", stopGraceMilliseconds, 120'000);
+    settings.stopGrace =
+        root.has("stop_grace_s")
+            ? root.seconds("stop_grace_s", 0.0, longestGraceSeconds, defaultGraceSeconds)
+            : root.milliseconds("stop_grace_ms", stopGraceMilliseconds, 120'000);
     root.refuseUnknownKeys();
     if (!faults.empty())
         return faults;
--- a/currantreel/src/Shell/CallerFront.cpp
+++ b/currantreel/src/Shell/CallerFront.cpp
@@ -253,7 +253,8 @@
     callbacks.onDone = [this, attempt] { onDone(*attempt); };
     callbacks.onFailed = [this, attempt](bool wasWritten) { onFailed(*attempt, wasWritten); };
     m_attempts.emplace(id, std::move(owned));
-    attempt->outgoing = std::make_unique<OutgoingExchange>(m_base, std::move(outgoing), std::move(callbacks));
+    attempt->outgoing =
+        std::make_unique<OutgoingExchange>(m_base, std::move(outgoing), std::move(callbacks));
 }
 
 void CallerFront::handle(const StartAttempt &effect)
--- a/currantreel/src/Shell/CallerFront.h
+++ b/currantreel/src/Shell/CallerFront.h
@@ -62,8 +62,7 @@
     void accept(evhttp_request *request);
     void acceptKeyRequest(evhttp_request *request, const std::string &path);
     Exchange &open(evhttp_request *request);
-    void startAttempt(Exchange &exchange, AttemptId id, OutgoingRequest outgoing,
-                      bool isForward);
+    void startAttempt(Exchange &exchange, AttemptId id, OutgoingRequest outgoing, bool isForward);
     OutgoingRequest outgoingOf(const Exchange &exchange, const Address &address) const;
     void onHead(Attempt &attempt, const AnswerHead &head);
     void onBody(Attempt &attempt, evbuffer *body);
--- a/currantreel/src/Shell/ForwardDaemon.cpp
+++ b/currantreel/src/Shell/ForwardDaemon.cpp
@@ -108,8 +108,8 @@
       m_fleet(m_settings.peers, drawSeed()),
       m_peers(
           m_base.get(), m_settings,
-          LinkIdentity{ FleetSystem::idOf(m_settings.peers), Incarnation{ startedAt() }, {} }, m_log,
-          [](HostId /*host*/) { return true; },
+          LinkIdentity{ FleetSystem::idOf(m_settings.peers), Incarnation{ startedAt() }, {} },
+          m_log, [](HostId /*host*/) { return true; },
           [this](Event event) { onPeerEvent(std::move(event)); }),
       m_operators(m_base.get(), m_settings, m_system, [this] { return isReady(); }),
       m_tick(event_new(m_base.get(), -1, EV_PERSIST, &ForwardDaemon::onTick, this)),
@@ -168,7 +168,8 @@
     if (m_isPumping)
         return;
     m_isPumping = true;
-    for (auto effects = m_system.takeEffects(); !effects.empty(); effects = m_system.takeEffects()) {
+    for (auto effects = m_system.takeEffects(); !effects.empty();
+         effects = m_system.takeEffects()) {
         for (const ForwardEffect &effect : effects)
             std::visit([this](const auto &one) { handle(one); }, effect);
     }
@@ -230,8 +231,7 @@
     m_isStopping = true;
     m_stopStarted = now();
     m_callers.beginStop();
-    m_log.write("stopping",
-                { { "requests_in_progress", std::to_string(m_callers.exchanges()) } });
+    m_log.write("stopping", { { "requests_in_progress", std::to_string(m_callers.exchanges()) } });
 }
 
 void ForwardDaemon::checkStop(TimePoint time)
@@ -274,8 +274,7 @@
     m_settings.forward = settings.forward;
     m_fleet.setSeeds(m_settings.forward->seeds);
     m_settings.stopGrace = settings.stopGrace;
-    m_log.write("reloaded",
-                { { "seeds", std::to_string(m_settings.forward->seeds.size()) } });
+    m_log.write("reloaded", { { "seeds", std::to_string(m_settings.forward->seeds.size()) } });
 }
 
 void ForwardDaemon::apply(TimePoint time, const std::vector<PublishedItem> &news)
@@ -298,9 +297,9 @@
     const bool isInForce = m_system.onConfiguration(std::move(configuration));
     if (isInForce)
         m_callers.setLimits(limits);
-    m_log.write(isInForce ? "configuration_in_force" : "configuration_passed_over",
-                { { "version", std::to_string(version) },
-                  { "revision", std::to_string(item.revision) } });
+    m_log.write(
+        isInForce ? "configuration_in_force" : "configuration_passed_over",
+        { { "version", std::to_string(version) }, { "revision", std::to_string(item.revision) } });
 }
 
 void ForwardDaemon::applyDocument(TimePoint time, const PublishedItem &item,
@@ -363,13 +362,15 @@
 void ForwardDaemon::runFleet(TimePoint time)
 {
     for (const FleetOutgoing &outgoing : m_fleet.run(time, describeSelf(time), m_published)) {
-        std::visit([&](const auto &message) { m_peers.send(outgoing.to, outgoing.address, message); },
-                   outgoing.message);
+        std::visit(
+            [&](const auto &message) { m_peers.send(outgoing.to, outgoing.address, message); },
+            outgoing.message);
     }
     m_system.directory().setOthers(m_fleet.othersLoads(time));
     m_system.groups().setOthers(m_fleet.othersDemands(time));
-    m_system.retries().setHosts(
-        std::max(m_fleet.countedHosts(time), m_fleet.presentHosts(time) > 0 ? std::size_t{ 1 } : assumedHosts));
+    m_system.retries().setHosts(std::max(m_fleet.countedHosts(time), m_fleet.presentHosts(time) > 0
+                                                                         ? std::size_t{ 1 }
+                                                                         : assumedHosts));
     if (m_fleet.presentHosts(time) == m_presentHosts)
         return;
     m_presentHosts = m_fleet.presentHosts(time);
@@ -392,23 +393,21 @@
         return;
     m_isStoreReachable = isReachable;
     m_log.write(isReachable ? "platform_reached" : "platform_lost",
-                { { "detail", detail },
-                  { "revision", std::to_string(m_published.revision()) } });
+                { { "detail", detail }, { "revision", std::to_string(m_published.revision()) } });
 }
 
 void ForwardDaemon::handle(const DecisionNote &note)
 {
-    m_log.write(nameOf(note.kind),
-                { { "request", note.callerId },
-                  { "route", note.route },
-                  { "server", note.instance },
-                  { "code", std::to_string(number(note.code)) },
-                  { "outcome", std::string(name(note.outcome)) },
-                  { "status", std::to_string(note.status) },
-                  { "version", std::to_string(note.version) },
-                  { "load", std::to_string(note.load) },
-                  { "waiting", std::to_string(note.waiting) },
-                  { "age_us", std::to_string(note.age.count()) } });
+    m_log.write(nameOf(note.kind), { { "request", note.callerId },
+                                     { "route", note.route },
+                                     { "server", note.instance },
+                                     { "code", std::to_string(number(note.code)) },
+                                     { "outcome", std::string(name(note.outcome)) },
+                                     { "status", std::to_string(note.status) },
+                                     { "version", std::to_string(note.version) },
+                                     { "load", std::to_string(note.load) },
+                                     { "waiting", std::to_string(note.waiting) },
+                                     { "age_us", std::to_string(note.age.count()) } });
 }
 
 } // namespace currantreel
--- a/currantreel/src/Shell/ForwardFront.cpp
+++ b/currantreel/src/Shell/ForwardFront.cpp
@@ -4,6 +4,7 @@
 #include "../Forward/NotRunPromise.h"
 #include "../Forward/RequestHead.h"
 #include "HttpReply.h"
+#include <algorithm>
 #include <charconv>
 #include <event2/keyvalq_struct.h>
 #include <platform/ForwardHeaders.h>
@@ -107,7 +108,19 @@
     setLimits(CallerLimits{});
 }
 
-ForwardFront::~ForwardFront() = default;
+ForwardFront::~ForwardFront()
+{
+    // The server closes its connections when it is freed, after the tables that callbacks use.
+    const auto forget = [](evhttp_connection *connection) {
+        evhttp_connection_set_closecb(connection, nullptr, nullptr);
+    };
+    std::for_each(m_unused.begin(), m_unused.end(), forget);
+    std::for_each(m_sending.begin(), m_sending.end(), forget);
+    for (const auto &[id, exchange] : m_exchanges) {
+        if (exchange->request)
+            forget(evhttp_request_get_connection(exchange->request));
+    }
+}
 
 TimePoint ForwardFront::now()
 {
@@ -153,6 +166,12 @@
     auto *front = static_cast<ForwardFront *>(self);
     evhttp_connection *connection = evhttp_request_get_connection(request);
     front->m_sending.erase(connection);
+    if (front->m_isClosing) {
+        // A reply that began before the stop did not say that its connection closes.
+        evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
+        evhttp_connection_set_closecb(connection, nullptr, nullptr);
+        return;
+    }
     front->m_unused.insert(connection);
     evhttp_connection_set_closecb(connection, &ForwardFront::onAnsweredClosed, front);
 }
@@ -210,9 +229,9 @@
 
 void ForwardFront::refuseHead(evhttp_request *request, const std::string &fault)
 {
-    m_log->write("request_refused",
-                 { { "code", std::to_string(number(ResultCode::RequestBadHead)) },
-                   { "detail", fault } });
+    m_log->write(
+        "request_refused",
+        { { "code", std::to_string(number(ResultCode::RequestBadHead)) }, { "detail", fault } });
     evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
     sendError(request, ResultCode::RequestBadHead, Outcome::NotRun, {}, fault);
 }
--- a/currantreel/src/Shell/ForwardFront.h
+++ b/currantreel/src/Shell/ForwardFront.h
@@ -91,7 +91,8 @@
     std::unordered_map<RequestId, std::unique_ptr<Exchange>> m_exchanges;
     std::unordered_map<AttemptId, std::unique_ptr<Attempt>> m_attempts;
     std::vector<std::unique_ptr<Attempt>> m_retired; ///< Ended; freed outside of their callbacks.
-    std::set<evhttp_connection *> m_sending; ///< Callers' connections that have to take a reply's end.
+    std::set<evhttp_connection *>
+        m_sending; ///< Callers' connections that have to take a reply's end.
     std::set<evhttp_connection *> m_unused; ///< Callers' connections between two requests.
     std::vector<evhttp_connection *> m_broken; ///< To be closed outside of callbacks.
     std::uint64_t m_nextRequest = 1;
--- a/currantreel/src/Shell/ForwardOperators.cpp
+++ b/currantreel/src/Shell/ForwardOperators.cpp
@@ -64,13 +64,12 @@
     status["queued"] = m_system->waiting();
     status["backend_servers"] = nlohmann::json::array();
     for (const ForwardServer &server : m_system->directory().servers()) {
-        status["backend_servers"].push_back(
-            { { "instance", server.announced.instance },
-              { "address", toText(server.announced.address) },
-              { "leaving", server.announced.isLeaving },
-              { "own_requests", server.own.requests },
-              { "others_requests", server.others.requests },
-              { "failure_share", server.health.failureShare() } });
+        status["backend_servers"].push_back({ { "instance", server.announced.instance },
+                                              { "address", toText(server.announced.address) },
+                                              { "leaving", server.announced.isLeaving },
+                                              { "own_requests", server.own.requests },
+                                              { "others_requests", server.others.requests },
+                                              { "failure_share", server.health.failureShare() } });
     }
     return status.dump();
 }
--- a/currantreel/src/Shell/OutgoingExchange.h
+++ b/currantreel/src/Shell/OutgoingExchange.h
@@ -43,7 +43,8 @@
     std::function<void(evbuffer *)> onBody; ///< Takes the bytes out of the buffer.
     std::function<void()> onDone; ///< The body ended as its framing says.
     std::function<void(bool wasWritten)> onFailed;
-    std::function<void()> onWritten = {}; ///< The first byte was handed to the socket; may be empty.
+    std::function<void()>
+        onWritten = {}; ///< The first byte was handed to the socket; may be empty.
 };
 
 /// One HTTP exchange on a connection of its own. Destruction closes the connection, unless it was taken
--- a/currantreel/src/Shell/PlatformClient.cpp
+++ b/currantreel/src/Shell/PlatformClient.cpp
@@ -131,7 +131,8 @@
         call.status = 0;
         call.finish();
     };
-    call.exchange = std::make_unique<OutgoingExchange>(m_base, std::move(request), std::move(callbacks));
+    call.exchange =
+        std::make_unique<OutgoingExchange>(m_base, std::move(request), std::move(callbacks));
 }
 
 void PlatformClient::onTimer(int /*descriptor*/, short /*what*/, void *call)
--- a/currantreel/src/World/PeerMessage.h
+++ b/currantreel/src/World/PeerMessage.h
@@ -10,11 +10,11 @@
 namespace currantreel {
 
 /// Everything that hosts say to each other, and that a host says to itself in another role.
-using PeerMessage = std::variant<GrantRequest, Granted, GrantShed, GrantWithdrawn, LeaseReleased,
-                                 LeaseRenewal, ConfigurationAnnounce, PatchRequest, PatchBatch,
-                                 SnapshotRequest, SnapshotPart, LeavingServers, LeasePreempted,
-                                 Probe, ProbeAck, ProbeRequest, NewsPush, GrantMoved, FleetNews,
-                                 PublishedNews>;
+using PeerMessage =
+    std::variant<GrantRequest, Granted, GrantShed, GrantWithdrawn, LeaseReleased, LeaseRenewal,
+                 ConfigurationAnnounce, PatchRequest, PatchBatch, SnapshotRequest, SnapshotPart,
+                 LeavingServers, LeasePreempted, Probe, ProbeAck, ProbeRequest, NewsPush,
+                 GrantMoved, FleetNews, PublishedNews>;
 
 } // namespace currantreel
 
--- /dev/null
+++ b/test/ForwardTest.cpp
@@ -0,0 +1,306 @@
+#include "ForwardFixture.h"
+
+using namespace test;
+
+TEST_CASE("a request goes to a server of its route's service and ends with its answer")
+{
+    ForwardFixture fixture;
+    fixture.addServer("ledger-1", "ledger");
+    fixture.call("/pay/entry");
+    const auto sent = fixture.last<StartForward>();
+    CHECK(sent.instance == "ledger-1");
+    CHECK(sent.workspace == "mill");
+    CHECK_FALSE(sent.isRepeatable);
+    CHECK(sent.timeLeft == 800ms);
+    fixture.system.onWritten(sent.attempt);
+    fixture.answer(sent.attempt, 200);
+    CHECK(fixture.last<FinishForward>().request == sent.request);
+    CHECK(fixture.system.size() == 0);
+    CHECK(fixture.system.directory().servers().begin()->own.requests == 0);
+}
+
+TEST_CASE("refusals before anything is sent are numbered and say that the request has not run")
+{
+    ForwardFixture fixture;
+    fixture.addServer("ledger-1", "ledger");
+    const auto refusal = [&](const std::string &path, const std::string &key) {
+        fixture.call(path, key);
+        return fixture.last<RefuseForward>();
+    };
+    CHECK(refusal("/none/", "key").code == ResultCode::RequestUnknownRoute);
+    CHECK(refusal("/pay/x", "other").code == ResultCode::RequestUnknownKey);
+    CHECK(refusal("/pay/x", "").code == ResultCode::RequestUnknownKey);
+    CHECK(refusal("/none/", "key").outcome == Outcome::NotRun);
+    CHECK(fixture.all<StartForward>().empty());
+}
+
+TEST_CASE("a host without a configuration refuses for now and never says that a route is unknown")
+{
+    ForwardSystem system(FailureDomainId::ofName("a"), 1);
+    CallArrived event;
+    event.request = RequestId{ 1 };
+    event.host = "mill.example";
+    event.path = "/pay/";
+    system.onArrived(TimePoint(1h), event);
+    const auto effects = system.takeEffects();
+    const auto *refusal = std::get_if<RefuseForward>(&effects.front());
+    REQUIRE(refusal);
+    CHECK(refusal->code == ResultCode::RequestNoConfiguration);
+    CHECK(refusalStatus(refusal->code, refusal->outcome) == 503);
+    CHECK(refusal->retryAfter > Duration::zero());
+}
+
+TEST_CASE("a request that may not be repeated is sent once, whatever its server does")
+{
+    const auto play = [](bool isWritten, auto end) {
+        ForwardFixture fixture;
+        fixture.addServer("ledger-1", "ledger");
+        fixture.addServer("ledger-2", "ledger");
+        fixture.call("/pay/entry");
+        const auto sent = fixture.last<StartForward>();
+        if (isWritten)
+            fixture.system.onWritten(sent.attempt);
+        end(fixture, sent.attempt);
+        fixture.pass(2s);
+        std::size_t written = isWritten ? 1 : 0;
+        for (const StartForward &start : fixture.all<StartForward>())
+            written += start.attempt != sent.attempt ? 1 : 0;
+        return std::pair(written, fixture.last<RefuseForward>());
+    };
+    SUBCASE("the connection breaks after the first byte")
+    {
+        const auto [written, refusal] = play(true, [](ForwardFixture &fixture, AttemptId attempt) {
+            fixture.fail(attempt, AttemptFailure::Broken);
+        });
+        CHECK(written == 1);
+        CHECK(refusal.outcome == Outcome::Unknown);
+        CHECK_FALSE(promisesNotRun(refusalStatus(refusal.code, refusal.outcome)));
+    }
+    SUBCASE("the server stays silent")
+    {
+        const auto [written, refusal] = play(true, [](ForwardFixture &, AttemptId) {});
+        CHECK(written == 1);
+        CHECK(refusal.code == ResultCode::RequestTimedOut);
+        CHECK(refusalStatus(refusal.code, refusal.outcome) == 504);
+    }
+    SUBCASE("the answer belongs to another request")
+    {
+        const auto [written, refusal] = play(true, [](ForwardFixture &fixture, AttemptId attempt) {
+            fixture.fail(attempt, AttemptFailure::WrongAnswer);
+        });
+        CHECK(written == 1);
+        CHECK_FALSE(promisesNotRun(refusalStatus(refusal.code, refusal.outcome)));
+    }
+    SUBCASE("the server refuses it: the caller may come back")
+    {
+        const auto [written, refusal] = play(true, [](ForwardFixture &fixture, AttemptId attempt) {
+            fixture.answer(attempt, 503, true);
+        });
+        CHECK(written == 1);
+        CHECK(refusal.outcome == Outcome::NotRun);
+        CHECK(refusalStatus(refusal.code, refusal.outcome) == 503);
+        CHECK(refusal.retryAfter > Duration::zero());
+    }
+    SUBCASE("the server answers 503 without saying that it did not run it")
+    {
+        const auto [written, refusal] = play(true, [](ForwardFixture &fixture, AttemptId attempt) {
+            fixture.answer(attempt, 503, false);
+        });
+        CHECK(written == 1);
+        CHECK_FALSE(promisesNotRun(refusalStatus(refusal.code, refusal.outcome)));
+    }
+}
+
+TEST_CASE("a request of which nothing was written goes to another server")
+{
+    ForwardFixture fixture;
+    fixture.addServer("ledger-1", "ledger");
+    fixture.addServer("ledger-2", "ledger");
+    fixture.call("/pay/entry");
+    const auto first = fixture.last<StartForward>();
+    fixture.fail(first.attempt, AttemptFailure::NotConnected);
+    const auto second = fixture.last<StartForward>();
+    CHECK(second.attempt != first.attempt);
+    CHECK(second.instance != first.instance);
+}
+
+TEST_CASE("a server to which no connection can be made is given up and avoided")
+{
+    ForwardFixture fixture;
+    fixture.addServer("ledger-1", "ledger");
+    fixture.addServer("ledger-2", "ledger");
+    fixture.call("/pay/entry");
+    const auto first = fixture.last<StartForward>();
+    fixture.pass(400ms);
+    const auto second = fixture.last<StartForward>();
+    CHECK(second.instance != first.instance);
+    CHECK(second.timeLeft < first.timeLeft);
+    fixture.call("/pay/entry");
+    CHECK(fixture.last<StartForward>().instance == second.instance);
+}
+
+TEST_CASE("an idempotent request that failed is repeated within its attempts")
+{
+    ForwardFixture fixture;
+    fixture.addServer("ledger-1", "ledger");
+    fixture.addServer("ledger-2", "ledger");
+    fixture.addServer("ledger-3", "ledger");
+    fixture.call("/look/ticket");
+    const auto first = fixture.last<StartForward>();
+    fixture.system.onWritten(first.attempt);
+    fixture.answer(first.attempt, 500);
+    const auto second = fixture.last<StartForward>();
+    CHECK(second.instance != first.instance);
+    fixture.system.onWritten(second.attempt);
+    fixture.answer(second.attempt, 500);
+    // The last answer is passed on as it is.
+    CHECK(fixture.all<StartForward>().size() == 2);
+    CHECK(fixture.last<RelayForward>().attempt == second.attempt);
+    CHECK(fixture.all<RefuseForward>().empty());
+}
+
+TEST_CASE("repeats stop at this host's share of the common bound")
+{
+    ForwardFixture fixture;
+    fixture.addServer("ledger-1", "ledger");
+    fixture.addServer("ledger-2", "ledger");
+    RetryBound bound;
+    bound.ratio = 0.2;
+    bound.slack = 10.0;
+    fixture.system.retries().setBound(bound);
+    fixture.system.retries().setHosts(5);
+    constexpr std::size_t requests = 100;
+    for (std::size_t i = 0; i < requests; ++i) {
+        fixture.call("/look/ticket");
+        for (int attempt = 0; attempt < 2; ++attempt) {
+            const AttemptId newest = fixture.last<StartForward>().attempt;
+            fixture.system.onWritten(newest);
+            fixture.answer(newest, 500);
+        }
+    }
+    const std::size_t repeats = fixture.all<StartForward>().size() - requests;
+    CHECK(repeats > 0);
+    CHECK(static_cast<double>(repeats) <= 0.2 * requests + 10.0 / 5);
+}
+
+TEST_CASE("a resumable stream goes on at another server, any other one is cut off")
+{
+    const auto play = [](const std::string &path) {
+        auto fixture = std::make_unique<ForwardFixture>();
+        fixture->addServer("engine-1", "engines");
+        fixture->addServer("engine-2", "engines");
+        fixture->call(path);
+        const auto first = fixture->last<StartForward>();
+        fixture->system.onWritten(first.attempt);
+        fixture->events(first.attempt);
+        fixture->fail(first.attempt, AttemptFailure::Broken);
+        return fixture;
+    };
+    const auto gate = play("/gate/question");
+    CHECK(gate->all<StartForward>().size() == 2);
+    CHECK(gate->all<BreakForward>().empty());
+    const auto second = gate->last<StartForward>();
+    gate->events(second.attempt);
+    CHECK(gate->last<RelayForward>().attempt == second.attempt);
+    const auto summary = play("/summary/lot");
+    CHECK(summary->all<StartForward>().size() == 1);
+    CHECK(summary->all<BreakForward>().size() == 1);
+    CHECK(summary->all<RefuseForward>().empty());
+}
+
+TEST_CASE("a stream that falls silent goes on elsewhere and its first attempt is cancelled")
+{
+    ForwardFixture fixture;
+    fixture.addServer("engine-1", "engines");
+    fixture.addServer("engine-2", "engines");
+    fixture.call("/gate/question");
+    const auto first = fixture.last<StartForward>();
+    fixture.system.onWritten(first.attempt);
+    fixture.events(first.attempt);
+    fixture.pass(1s);
+    REQUIRE(fixture.all<StartForward>().size() == 2);
+    CHECK(fixture.last<CancelForward>().attempt == first.attempt);
+}
+
+TEST_CASE("the caller's limit ends a request at once when it is shorter than the route's")
+{
+    ForwardFixture fixture;
+    fixture.addServer("engine-1", "engines");
+    fixture.call("/gate/question", "key", {}, 700ms);
+    CHECK(fixture.last<StartForward>().timeLeft == 700ms);
+    fixture.system.onWritten(fixture.last<StartForward>().attempt);
+    fixture.pass(690ms);
+    CHECK(fixture.all<RefuseForward>().empty());
+    fixture.pass(20ms);
+    CHECK(fixture.last<RefuseForward>().code == ResultCode::RequestTimedOut);
+    CHECK(fixture.all<CancelForward>().size() == 1);
+}
+
+TEST_CASE("a request whose caller leaves while it waits is forgotten, one that runs is cancelled")
+{
+    ForwardFixture fixture;
+    fixture.addServer("engine-1", "engines", "a", 1);
+    std::vector<RequestId> calls;
+    for (int i = 0; i < 4; ++i)
+        calls.push_back(fixture.call("/gate/question"));
+    const std::size_t sent = fixture.all<StartForward>().size();
+    REQUIRE(sent < calls.size());
+    fixture.system.onCallerLeft(fixture.now, calls.back());
+    fixture.take();
+    CHECK(fixture.all<CancelForward>().empty());
+    fixture.system.onCallerLeft(fixture.now, calls.front());
+    fixture.take();
+    CHECK(fixture.all<CancelForward>().size() == 1);
+}
+
+TEST_CASE("what is less urgent waits while something more urgent finds no room")
+{
+    ForwardFixture fixture;
+    fixture.addServer("engine-1", "engines", "a", 1);
+    while (fixture.system.waiting() == 0)
+        fixture.call("/summary/lot");
+    fixture.call("/summary/lot");
+    const RequestId urgent = fixture.call("/gate/question");
+    const AttemptId running = fixture.all<StartForward>().front().attempt;
+    fixture.system.onWritten(running);
+    fixture.answer(running, 200);
+    CHECK(fixture.last<StartForward>().request == urgent);
+}
+
+TEST_CASE("the configuration in force never falls back to an older version")
+{
+    ForwardFixture fixture;
+    CHECK(fixture.system.onConfiguration(ForwardFixture::makeRoutes(9)));
+    CHECK_FALSE(fixture.system.onConfiguration(ForwardFixture::makeRoutes(3)));
+    CHECK_FALSE(fixture.system.onConfiguration(ForwardFixture::makeRoutes(9)));
+    CHECK(fixture.system.routes().version() == 9);
+}
+
+TEST_CASE("a request keeps the route that it began with when the configuration changes")
+{
+    ForwardFixture fixture;
+    fixture.addServer("ledger-1", "ledger");
+    fixture.addServer("ledger-2", "ledger");
+    fixture.call("/look/ticket");
+    const auto first = fixture.last<StartForward>();
+    auto changed = ForwardFixture::makeRoutes(2);
+    changed->routes.clear();
+    fixture.system.onConfiguration(changed);
+    fixture.system.onWritten(first.attempt);
+    fixture.answer(first.attempt, 500);
+    CHECK(fixture.all<StartForward>().size() == 2);
+}
+
+TEST_CASE("a server that leaves gets no new request, and its requests end with their answers")
+{
+    ForwardFixture fixture;
+    fixture.addServer("ledger-1", "ledger");
+    fixture.call("/pay/entry");
+    const auto sent = fixture.last<StartForward>();
+    fixture.system.onWritten(sent.attempt);
+    fixture.system.directory().remove("ledger-1");
+    fixture.call("/pay/entry");
+    CHECK(fixture.all<StartForward>().size() == 1);
+    fixture.answer(sent.attempt, 200);
+    CHECK(fixture.last<FinishForward>().request == sent.request);
+}
--- a/test/PeerCodecTest.cpp
+++ b/test/PeerCodecTest.cpp
@@ -67,6 +67,15 @@
         ProbeRequest{ 23, gossip.news[0], gossip },
         NewsPush{ gossip },
         GrantMoved{ id },
+        FleetNews{ Address{ "10.0.0.1", 7000 },
+                   99,
+                   true,
+                   true,
+                   { Address{ "10.0.0.2", 7000 } },
+                   { FleetLoad{ BackendServerId{ 17 }, ServerLoad{ 3, 4'000, 5'000 } } },
+                   { FleetDemand{ ServiceId{ 18 }, EngineDemand{ 6.5, 7.25 } } } },
+        PublishedNews{ { PublishedItem{ "key", std::string("v\0w", 3), 100, false },
+                         PublishedItem{ "gone", "", 101, true } } },
     };
 }
 
@@ -176,6 +185,14 @@
     CHECK_FALSE(isProven(proof, secret, other, challenge, LinkSide::Dialer));
 }
 
+TEST_CASE("news of a host without work and without peers come back as they were")
+{
+    FleetNews news;
+    news.peers = Address{ "10.0.0.1", 7000 };
+    const std::vector<std::uint8_t> bytes = encoded(PeerMessage(news));
+    CHECK_FALSE(isError(decodeFrame(withoutPrefix(bytes))));
+}
+
 TEST_CASE("the estimate of a membership message is not below its frame")
 {
     Gossip gossip;
--- /dev/null
+++ b/test/process/test_forward.py
@@ -0,0 +1,336 @@
+"""What callers and backend servers of published routes meet: real daemons, and a stand-in of a site."""
+
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+import unittest
+
+from whole_site import BUILD, open_socket, request, wait_until
+
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {"name": "stream", "host": "h.example", "path-prefix": "/stream/", "kind": "streaming", "timeout-ms": 5000,
+         "slo-ms": 300, "priority": 0, "service": "engines", "max-attempts": 2, "no-auth": False, "affinity": True,
+         "stream-resume": True, "gap-target-ms": 200},
+        {"name": "once", "host": "h.example", "path-prefix": "/stream/once/", "kind": "streaming",
+         "timeout-ms": 5000, "slo-ms": 300, "priority": 1, "service": "engines", "max-attempts": 1, "no-auth": False,
+         "affinity": True, "stream-resume": False, "gap-target-ms": 200},
+        {"name": "pay", "host": "h.example", "path-prefix": "/pay/", "kind": "non_idempotent", "timeout-ms": 900,
+         "slo-ms": 100, "priority": 2, "service": "ledger", "max-attempts": 1, "no-auth": False},
+        {"name": "look", "host": "h.example", "path-prefix": "/look/", "kind": "idempotent", "timeout-ms": 900,
+         "slo-ms": 100, "priority": 2, "service": "ledger", "max-attempts": 2, "no-auth": False},
+    ],
+    "services": [
+        {"name": "engines", "health-path": "/health", "max-conns": 100,
+         "engine": {"slots": 16, "kv-capacity": 100000, "stride": 4}},
+        {"name": "ledger", "health-path": "/health", "max-conns": 100},
+    ],
+    "limits": {"header-bytes": 16384, "body-bytes": 65536, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+    "tenants": [{"name": "mill", "api-keys": ["the-key"], "priority": 1}],
+}
+
+
+class ForwardSite:
+    """A stand-in site and daemons. Every process ends with the site, by its id."""
+
+    def __init__(self, hosts=1):
+        self.directory = tempfile.mkdtemp(prefix="currantreel-forward-")
+        self.net = "127.%d.%d" % (random.randint(20, 219), random.randint(1, 250))
+        self.store = self.net + ".250:9300"
+        self.servers = {"e-1": self.net + ".1:9401", "e-2": self.net + ".2:9401",
+                        "l-1": self.net + ".1:9402", "l-2": self.net + ".2:9402"}
+        self.processes = {}
+        self.ids = 0
+        listed = ",".join("%s=%s" % item for item in self.servers.items())
+        self.start("site", "standin-site", "--store", self.store, "--servers", listed)
+        wait_until(lambda: self.is_open(self.store), "the store listens")
+        self.publish("op/config", CONFIGURATION)
+        for instance in self.servers:
+            self.announce(instance)
+        for number in range(1, hosts + 1):
+            self.start_host(number)
+        for number in range(1, hosts + 1):
+            wait_until(lambda number=number: self.is_ready(number), "a host is ready")
+
+    def close(self):
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+
+    def start(self, name, program, *arguments):
+        with open(os.path.join(self.directory, name + ".log"), "ab") as log:
+            self.processes[name] = subprocess.Popen([os.path.join(BUILD, program), *arguments], stdout=log,
+                                                    stderr=log, stdin=subprocess.DEVNULL)
+
+    def host_address(self, number, port):
+        return "%s.%d:%d" % (self.net, 10 + number, port)
+
+    def start_host(self, number):
+        path = os.path.join(self.directory, "host-%d.toml" % number)
+        with open(path, "w", encoding="utf-8") as file:
+            file.write("""
+stop_grace_s = 8
+[host]
+name = "host-%d"
+failure_domain = "a"
+[listen]
+callers = "%s"
+operators = "%s"
+peers = "%s"
+[platform]
+addresses = ["%s"]
+watch_ms = 500
+[forward]
+retry_ratio = 0.2
+retry_slack = 50.0
+retry_window_s = 10
+seeds = ["%s"]
+""" % (number, self.host_address(number, 8740), self.host_address(number, 8749), self.host_address(number, 8748),
+                self.store, self.host_address(1, 8748)))
+        self.start("host-%d" % number, "currantreeld", "--settings", path)
+
+    def is_open(self, address):
+        try:
+            open_socket(address).close()
+            return True
+        except OSError:
+            return False
+
+    def is_ready(self, number):
+        try:
+            return request(self.host_address(number, 8749), "GET", "/ready").status == 200
+        except OSError:
+            return False
+
+    def control(self, path, body=None):
+        return request(self.store, "POST", "/control/" + path, body or "").json()
+
+    def publish(self, key, document):
+        self.control("publish?key=" + key, json.dumps(document))
+
+    def announce(self, instance, **changes):
+        service = "engines" if instance.startswith("e") else "ledger"
+        entry = {"service": service, "addr": self.servers[instance], "zone": "a", "version": "v1", "slots": 16,
+                 "state": "ready", "cold-left-ms": 0, "sequence": 1}
+        entry.update(changes)
+        self.publish("servers/" + instance, entry)
+
+    def headers(self, **more):
+        self.ids += 1
+        headers = {"Host": "h.example", "X-Request-Id": "id-%d" % self.ids, "X-Timeout-Ms": "4000",
+                   "Authorization": "Bearer the-key"}
+        headers.update({name.replace("_", "-"): value for name, value in more.items()})
+        return headers
+
+    def call(self, path, method="POST", body="x", host=1, **more):
+        headers = self.headers(**more)
+        answer = request(self.host_address(host, 8740), method, path, body, headers)
+        return answer, headers["X-Request-Id"]
+
+    def seen(self, identifier):
+        return [run for run in self.control("seen") if run["headers"].get("X-Request-Id") == identifier]
+
+
+def raw(address, text, wait=1.5):
+    """Sends raw bytes and returns what comes back until the other side closes or falls silent."""
+    connection = open_socket(address)
+    connection.sendall(text.encode("latin-1"))
+    connection.settimeout(wait)
+    received = b""
+    try:
+        while True:
+            piece = connection.recv(65536)
+            if not piece:
+                break
+            received += piece
+    except socket.timeout:
+        pass
+    connection.close()
+    return received.decode("latin-1")
+
+
+class Forward(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.site = ForwardSite()
+        cls.callers = cls.site.host_address(1, 8740)
+
+    @classmethod
+    def tearDownClass(cls):
+        cls.site.close()
+
+    def test_a_call_reaches_its_server_as_it_came(self):
+        answer, identifier = self.site.call("/pay/entry?x=1", body="payload", X_Tenant="forged", X_Hold="9",
+                                            X_Other="kept")
+        self.assertEqual((answer.status, answer.body), (200, "answer to " + identifier))
+        self.assertTrue(answer.headers["X-Server-Stamp"].startswith("stamp-l-"))
+        run, = self.site.seen(identifier)
+        self.assertEqual((run["path"], run["body"]), ("/pay/entry?x=1", "payload"))
+        self.assertEqual(run["headers"]["X-Tenant"], "mill")
+        self.assertEqual(run["headers"]["X-Other"], "kept")
+        self.assertEqual(run["headers"]["Host"], "h.example")
+        self.assertNotIn("X-Hold", run["headers"])
+        self.assertNotIn("Authorization", run["headers"])
+        self.assertLessEqual(int(run["headers"]["X-Timeout-Ms"]), 900)
+
+    def test_refusals_are_numbered(self):
+        cases = [("/none/", {}, 404, 3010), ("/pay/x", {"Authorization": "Bearer other"}, 401, 3011)]
+        for path, more, status, code in cases:
+            answer, identifier = self.site.call(path, **more)
+            self.assertEqual((answer.status, answer.error_code()), (status, code))
+            self.assertEqual(self.site.seen(identifier), [])
+
+    def test_a_stream_arrives_whole_and_in_order(self):
+        answer, _ = self.site.call("/stream/x")
+        ids = [line for line in answer.body.splitlines() if line.startswith("id:")]
+        self.assertEqual(ids, ["id: %d" % number for number in range(1, 7)])
+
+    def test_a_broken_stream_goes_on_at_another_server_without_half_events(self):
+        answer, identifier = self.site.call("/stream/x", X_Test="break")
+        body = answer.body
+        ids = [line for line in body.splitlines() if line.startswith("id:")]
+        self.assertEqual(ids, ["id: %d" % number for number in range(1, 7)])
+        first, second = self.site.seen(identifier)
+        self.assertNotEqual(first["instance"], second["instance"])
+        self.assertEqual(second["headers"]["Last-Event-Id"], "2")
+        self.assertTrue(answer.headers["X-Server-Stamp"].endswith(first["instance"]))
+
+    def test_a_broken_stream_that_may_not_go_on_is_seen_to_be_cut(self):
+        connection = open_socket(self.callers)
+        headers = self.site.headers(X_Test="break")
+        lines = "".join("%s: %s\r\n" % item for item in headers.items())
+        connection.sendall(("POST /stream/once/x HTTP/1.1\r\n%sContent-Length: 0\r\n\r\n" % lines).encode())
+        received = b""
+        while piece := connection.recv(65536):
+            received += piece
+        self.assertIn(b"id: 2", received)
+        self.assertNotIn(b"\r\n0\r\n\r\n", received)
+        self.assertEqual(len(self.site.seen(headers["X-Request-Id"])), 1)
+
+    def test_a_call_that_may_not_be_repeated_runs_once(self):
+        for behaviour, status in [("break", 502), ("silent", 504), ("wrong-id", 502), ("refuse", 503), ("error", 500)]:
+            with self.subTest(behaviour=behaviour):
+                answer, identifier = self.site.call("/pay/x", X_Test=behaviour)
+                self.assertEqual(answer.status, status)
+                self.assertEqual(len(self.site.seen(identifier)), 1)
+                self.assertEqual("Retry-After" in answer.headers, status == 503)
+
+    def test_an_idempotent_call_is_repeated_once(self):
+        answer, identifier = self.site.call("/look/x", method="GET", body=None, X_Test="error")
+        self.assertEqual(answer.status, 500)
+        instances = [run["instance"] for run in self.site.seen(identifier)]
+        self.assertEqual(sorted(instances), ["l-1", "l-2"])
+
+    def test_bytes_beyond_an_answer_belong_to_no_request(self):
+        for _ in range(3):
+            answer, identifier = self.site.call("/look/x", method="GET", body=None, X_Test="surplus")
+            self.assertEqual(answer.body, "answer to " + identifier)
+            answer, identifier = self.site.call("/look/x", method="GET", body=None)
+            self.assertEqual(answer.body, "answer to " + identifier)
+
+    def test_a_caller_who_leaves_ends_the_work(self):
+        connection = open_socket(self.callers)
+        headers = self.site.headers(X_Test="silent")
+        lines = "".join("%s: %s\r\n" % item for item in headers.items())
+        connection.sendall(("POST /pay/x HTTP/1.1\r\n%sContent-Length: 0\r\n\r\n" % lines).encode())
+        wait_until(lambda: self.site.seen(headers["X-Request-Id"]), "the request arrives")
+        connection.close()
+        wait_until(lambda: self.site.seen(headers["X-Request-Id"])[0]["ended"] == "cancelled", "the work is cancelled")
+
+    def test_heads_that_hide_a_second_request_are_refused(self):
+        inner = "POST /pay/inner HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: smuggled\r\n" \
+                "Authorization: Bearer the-key\r\nContent-Length: 0\r\n\r\n"
+        cases = [
+            "Content-Length: %d\r\nContent-Length: 0\r\n",
+            "Content-Length: +%d\r\n",
+            "Content-Length : %d\r\n",
+            "Content-Length: %d\r\nTransfer-Encoding: chunked\r\n",
+            "Transfer-Encoding: gzip, chunked\r\nX: %d\r\n",
+            "Transfer-Encoding: identity\r\nContent-Length: %d\r\n",
+        ]
+        for method in ("POST", "GET"):
+            for case in cases + (["Content-Length: %d\r\n"] if method == "GET" else []):
+                with self.subTest(method=method, case=case):
+                    text = "%s /pay/outer HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer the-key\r\n%s\r\n%s" \
+                        % (method, case % len(inner), inner)
+                    received = raw(self.callers, text)
+                    self.assertRegex(received, r"^HTTP/1.1 (400|413|501) ")
+                    self.assertEqual(received.count("HTTP/1.1 "), 1)
+                    self.assertEqual(self.site.seen("smuggled"), [])
+
+    def test_requests_need_one_host(self):
+        for hosts in ("", "Host: h.example\r\nHost: h.example\r\n"):
+            received = raw(self.callers, "GET /look/x HTTP/1.1\r\n%sAuthorization: Bearer the-key\r\n\r\n" % hosts)
+            self.assertIn("3012", received)
+
+    def test_requests_sent_ahead_on_one_connection_are_all_answered(self):
+        text = ""
+        identifiers = []
+        for _ in range(3):
+            headers = self.site.headers()
+            identifiers.append(headers["X-Request-Id"])
+            lines = "".join("%s: %s\r\n" % item for item in headers.items())
+            text += "POST /pay/x HTTP/1.1\r\n%sContent-Length: 2\r\n\r\nhi" % lines
+        received = raw(self.callers, text)
+        for identifier in identifiers:
+            self.assertIn("answer to " + identifier, received)
+
+    def test_a_leaving_server_gets_no_new_request_and_a_new_version_is_in_force(self):
+        self.site.announce("l-1", state="draining")
+        wait_until(lambda: all(self.site.seen(self.site.call("/pay/x")[1])[0]["instance"] == "l-2"
+                               for _ in range(6)), "the server gets nothing new")
+        self.site.announce("l-1")
+        self.site.control("compact")
+        changed = json.loads(json.dumps(CONFIGURATION))
+        changed["version"] = 12
+        changed["routes"].append(dict(changed["routes"][2], name="new", **{"path-prefix": "/new/"}))
+        self.site.publish("op/config", changed)
+        wait_until(lambda: self.site.call("/new/x")[0].status == 200, "the new route is in force")
+        self.site.publish("op/config", CONFIGURATION)
+        time.sleep(0.3)
+        self.assertEqual(self.site.call("/new/x")[0].status, 200)
+
+
+class Stop(unittest.TestCase):
+    def test_a_planned_stop_finishes_what_runs_and_closes_what_is_unused(self):
+        site = ForwardSite(hosts=1)
+        try:
+            unused = open_socket(site.host_address(1, 8740))
+            headers = "".join("%s: %s\r\n" % item for item in site.headers().items())
+            unused.sendall(("POST /pay/x HTTP/1.1\r\n%sContent-Length: 0\r\n\r\n" % headers).encode())
+            self.assertIn(b"answer to", unused.recv(65536))
+            busy = open_socket(site.host_address(1, 8740))
+            headers = "".join("%s: %s\r\n" % item for item in site.headers().items())
+            busy.sendall(("POST /stream/x HTTP/1.1\r\n%sContent-Length: 0\r\n\r\n" % headers).encode())
+            received = busy.recv(65536)
+            site.processes["host-1"].send_signal(signal.SIGTERM)
+            while piece := busy.recv(65536):
+                received += piece
+            self.assertTrue(received.endswith(b"0\r\n\r\n"))
+            self.assertEqual(unused.recv(65536), b"")
+            self.assertFalse(site.is_ready(1))
+            self.assertEqual(site.processes["host-1"].wait(timeout=30), 0)
+        finally:
+            site.close()
+
+    def test_a_host_that_starts_while_the_store_is_down_gets_all_from_its_peers(self):
+        site = ForwardSite(hosts=1)
+        try:
+            site.control("down")
+            site.start_host(2)
+            wait_until(lambda: site.is_ready(2), "the second host is ready")
+            self.assertEqual(site.call("/pay/x", host=2)[0].status, 200)
+        finally:
+            site.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
