--- a/currantreel/src/Forward/ForwardAttempts.cpp
+++ b/currantreel/src/Forward/ForwardAttempts.cpp
@@ -68,6 +68,11 @@
     Call *call = callOf(attempt);
     if (!call)
         return;
+    if (call->hasBegun)
+        call->longestPause = std::max(call->longestPause, now - call->eventAt);
+    else
+        call->firstEvent = now - call->arrivedAt;
+    call->eventAt = now;
     call->progressAt = now;
     call->mayHaveRun = true;
     if (call->state == State::Relayed)
--- a/currantreel/src/Forward/ForwardMessages.h
+++ b/currantreel/src/Forward/ForwardMessages.h
@@ -107,6 +107,8 @@
     std::uint32_t load = 0; ///< Requests at the chosen server, this one excluded.
     std::uint32_t waiting = 0; ///< Requests in the queue.
     Duration age{}; ///< Since the request arrived.
+    Duration firstEvent{}; ///< From arrival to the first event of a stream; zero if none came.
+    Duration longestPause{}; ///< Between two arrivals of events of a stream.
 };
 
 using ForwardEffect = std::variant<StartForward, CancelForward, RelayForward, FinishForward,
--- a/currantreel/src/Forward/ForwardSystem.cpp
+++ b/currantreel/src/Forward/ForwardSystem.cpp
@@ -268,6 +268,8 @@
     decision.waiting =
         queue == m_queues.end() ? 0 : static_cast<std::uint32_t>(queue->second.size());
     decision.age = now - call.arrivedAt;
+    decision.firstEvent = call.firstEvent;
+    decision.longestPause = call.longestPause;
     return decision;
 }
 
--- a/currantreel/src/Forward/ForwardSystem.h
+++ b/currantreel/src/Forward/ForwardSystem.h
@@ -94,7 +94,10 @@
         AttemptId attempt;
         BackendServerId server;
         TimePoint sentAt;
+        TimePoint eventAt; ///< Last arrival of events.
         TimePoint progressAt; ///< Last sign of life of the present attempt.
+        Duration firstEvent{}; ///< From arrival to the first event; zero if none came.
+        Duration longestPause{}; ///< Between two arrivals of events.
         bool isWritten = false; ///< Of the present attempt.
         bool mayHaveRun = false; ///< Some attempt may have run the request.
         bool hasBegun = false; ///< The caller has part of the answer.
--- a/currantreel/src/Shell/ForwardDaemon.cpp
+++ b/currantreel/src/Shell/ForwardDaemon.cpp
@@ -398,16 +398,43 @@
 
 void ForwardDaemon::handle(const DecisionNote &note)
 {
-    m_log.write(nameOf(note.kind), { { "request", note.callerId },
-                                     { "route", note.route },
-                                     { "server", note.instance },
-                                     { "code", std::to_string(number(note.code)) },
-                                     { "outcome", std::string(name(note.outcome)) },
-                                     { "status", std::to_string(note.status) },
-                                     { "version", std::to_string(note.version) },
-                                     { "load", std::to_string(note.load) },
-                                     { "waiting", std::to_string(note.waiting) },
-                                     { "age_us", std::to_string(note.age.count()) } });
+    const auto milliseconds = [](Duration time) { return std::to_string(toMilliseconds(time)); };
+    switch (note.kind) {
+    case DecisionKind::Chosen:
+    case DecisionKind::Queued:
+        m_log.write(nameOf(note.kind), { { "request", note.callerId },
+                                         { "route", note.route },
+                                         { "server", note.instance },
+                                         { "load", std::to_string(note.load) },
+                                         { "waiting", std::to_string(note.waiting) },
+                                         { "version", std::to_string(note.version) },
+                                         { "age_ms", milliseconds(note.age) } });
+        break;
+    case DecisionKind::Ended:
+    case DecisionKind::Retried:
+    case DecisionKind::Resumed:
+        m_log.write(nameOf(note.kind), { { "request", note.callerId },
+                                         { "route", note.route },
+                                         { "server", note.instance },
+                                         { "status", std::to_string(note.status) },
+                                         { "outcome", std::string(name(note.outcome)) },
+                                         { "age_ms", milliseconds(note.age) },
+                                         { "first_event_ms", milliseconds(note.firstEvent) },
+                                         { "longest_pause_ms", milliseconds(note.longestPause) } });
+        break;
+    case DecisionKind::Refused:
+    case DecisionKind::Broken:
+        m_log.write(nameOf(note.kind), { { "request", note.callerId },
+                                         { "route", note.route },
+                                         { "server", note.instance },
+                                         { "code", std::to_string(number(note.code)) },
+                                         { "name", std::string(info(note.code).name) },
+                                         { "outcome", std::string(name(note.outcome)) },
+                                         { "waiting", std::to_string(note.waiting) },
+                                         { "version", std::to_string(note.version) },
+                                         { "age_ms", milliseconds(note.age) } });
+        break;
+    }
 }
 
 } // namespace currantreel
--- a/test/ForwardTest.cpp
+++ b/test/ForwardTest.cpp
@@ -240,8 +240,10 @@
 {
     ForwardFixture fixture;
     fixture.addServer("engine-1", "engines", "a", 1);
+    constexpr std::size_t callers = 4;
     std::vector<RequestId> calls;
-    for (int i = 0; i < 4; ++i)
+    calls.reserve(callers);
+    for (std::size_t i = 0; i < callers; ++i)
         calls.push_back(fixture.call("/gate/question"));
     const std::size_t sent = fixture.all<StartForward>().size();
     REQUIRE(sent < calls.size());
