Weigh own reading 14 times: stay with the engine that has the subject

Cause: loads of other hosts are 400 ms old, so that a request left the engine with its prompt for one that only seemed idle, and its 4,000 to 6,000 shared tokens were read again there.

--- a/currantreel/src/Forward/ServerPlacement.cpp
+++ b/currantreel/src/Forward/ServerPlacement.cpp
@@ -18,7 +18,7 @@
 /// Cost per unit of recent failure share.
 constexpr double tokensPerFailureShare = 20'000.0;
 /// Weight of tokens that this request has to read: they also keep the engine from other work.
-constexpr double ownReadingWeight = 5.0;
+constexpr double ownReadingWeight = 14.0;
 /// Share of the subject's tokens that the preferred server is taken to have in memory, while this host
 /// has not sent it the subject itself.
 constexpr double assumedKeptShare = 0.9;
