--- a/currantreel/src/Forward/ServerPlacement.cpp
+++ b/currantreel/src/Forward/ServerPlacement.cpp
@@ -18,14 +18,14 @@
 /// Cost per unit of recent failure share.
 constexpr double tokensPerFailureShare = 20'000.0;
 /// Weight of tokens that this request has to read: they also keep the engine from other work.
-constexpr double ownReadingWeight = 14.0;
+constexpr double ownReadingWeight = 20.0;
 /// Share of the subject's tokens that the preferred server is taken to have in memory, while this host
 /// has not sent it the subject itself.
 constexpr double assumedKeptShare = 0.9;
 /// Share of an engine's memory that lower tiers may fill.
 constexpr double lowerTierMemoryShare = 0.9;
 /// Cost of the engines that are for the other kind of prompt.
-constexpr double tokensPerShortAmongLong = 12'000.0;
+constexpr double tokensPerShortAmongLong = 6'000.0;
 constexpr double tokensPerLongAmongShort = 25'000.0;
 /// Tokens that an engine may have to read at once before the streams beside it pause noticeably, and
 /// the cost of going beyond.
--- /dev/null
+++ b/scripts/platform-names.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Fails when a name of the platform stands in a source file outside platform/, test/ and standins/.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+found=$(git grep -nwF -f scripts/platform-names.txt -- '*.cpp' '*.h' '*.fbs' ':!platform' ':!test' ':!standins' || true)
+[ -z "$found" ] && exit 0
+printf 'Names of the platform outside platform/:\n%s\n' "$found"
+exit 1
