--- a/currantreel/src/Forward/ForwardAttempts.cpp
+++ b/currantreel/src/Forward/ForwardAttempts.cpp
@@ -223,6 +223,9 @@
 void ForwardSystem::finish(TimePoint now, Call &call, const AnswerStatus &answer)
 {
     ++m_counters.completed;
+    m_counters.firstEvents.add(call.hasBegun ? call.firstEvent : now - call.arrivedAt);
+    if (call.hasBegun)
+        m_counters.pauses.add(call.longestPause);
     DecisionNote ended = noteOf(now, call, DecisionKind::Ended);
     ended.status = answer.status;
     note(std::move(ended));
--- a/currantreel/src/Forward/ForwardCounters.h
+++ b/currantreel/src/Forward/ForwardCounters.h
@@ -2,6 +2,7 @@
 #define CURRANTREEL_FORWARD_FORWARDCOUNTERS_H
 
 #include "../Core/ResultCode.h"
+#include "DurationHistogram.h"
 #include <cstdint>
 #include <map>
 
@@ -19,6 +20,8 @@
     std::uint64_t resumed = 0; ///< Streams that went on at another server.
     std::uint64_t broken = 0; ///< Replies that were cut off.
     std::map<ResultCode, std::uint64_t> refused;
+    DurationHistogram firstEvents; ///< From arrival to the first event, or to the whole answer.
+    DurationHistogram pauses; ///< Longest pause of each stream.
 };
 
 } // namespace currantreel
--- a/currantreel/src/Log/Log.cpp
+++ b/currantreel/src/Log/Log.cpp
@@ -30,8 +30,8 @@
 
 } // namespace
 
-Log::Log(std::string_view host, std::uint64_t incarnation, int descriptor)
-    : m_descriptor(descriptor)
+Log::Log(std::string_view host, std::uint64_t incarnation, int descriptor, Clock clock)
+    : m_descriptor(descriptor), m_clock(clock)
 {
     m_prefix = R"(,"host":)";
     appendQuoted(m_prefix, host);
@@ -82,7 +82,7 @@
 
 void Log::write(std::string_view event, std::initializer_list<LogField> fields) const
 {
-    const auto now = std::chrono::system_clock::now();
+    const auto now = m_clock();
     const auto sinceEpoch =
         std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
     constexpr std::int64_t millisecondsPerSecond = 1'000;
--- a/currantreel/src/Log/Log.h
+++ b/currantreel/src/Log/Log.h
@@ -28,8 +28,12 @@
     /// Most lines in one second; further ones are dropped and counted.
     static constexpr std::uint32_t mostLinesPerSecond = 2'000;
 
+    /// Tells the time of day.
+    using Clock = std::chrono::system_clock::time_point (*)();
+
     /// @param descriptor to write to; it is set not to block.
-    Log(std::string_view host, std::uint64_t incarnation, int descriptor = 1);
+    Log(std::string_view host, std::uint64_t incarnation, int descriptor = 1,
+        Clock clock = &std::chrono::system_clock::now);
     ~Log();
     Log(const Log &) = delete;
     Log &operator=(const Log &) = delete;
@@ -51,6 +55,7 @@
 
     std::string m_prefix;
     int m_descriptor;
+    Clock m_clock;
     // Logging changes nothing that callers of a const object could see.
     mutable std::string m_waiting;
     mutable std::uint64_t m_dropped = 0;
--- a/currantreel/src/Shell/ForwardDaemon.cpp
+++ b/currantreel/src/Shell/ForwardDaemon.cpp
@@ -111,7 +111,7 @@
           LinkIdentity{ FleetSystem::idOf(m_settings.peers), Incarnation{ startedAt() }, {} },
           m_log, [](HostId /*host*/) { return true; },
           [this](Event event) { onPeerEvent(std::move(event)); }),
-      m_operators(m_base.get(), m_settings, m_system, [this] { return isReady(); }),
+      m_operators(m_base.get(), m_settings, m_log, m_system, [this] { return isReady(); }),
       m_tick(event_new(m_base.get(), -1, EV_PERSIST, &ForwardDaemon::onTick, this)),
       m_sweep(event_new(m_base.get(), -1, 0, &ForwardDaemon::onSweep, this)),
       m_terminate(evsignal_new(m_base.get(), SIGTERM, &ForwardDaemon::onTerminate, this)),
--- a/currantreel/src/Shell/ForwardOperators.cpp
+++ b/currantreel/src/Shell/ForwardOperators.cpp
@@ -15,9 +15,10 @@
 
 } // namespace
 
-ForwardOperators::ForwardOperators(event_base *base, const HostSettings &settings,
+ForwardOperators::ForwardOperators(event_base *base, const HostSettings &settings, const Log &log,
                                    const ForwardSystem &system, std::function<bool()> isReady)
     : m_settings(&settings),
+      m_log(&log),
       m_system(&system),
       m_isReady(std::move(isReady)),
       m_server(evhttp_new(base))
@@ -96,6 +97,9 @@
     for (const auto &[code, count] : counters.refused)
         fmt::format_to(std::back_inserter(text), "currantreel_refused_total{{code=\"{}\"}} {}\n",
                        number(code), count);
+    counter("currantreel_log_lines_dropped_total", m_log->dropped());
+    counters.firstEvents.append(text, "currantreel_first_event_seconds");
+    counters.pauses.append(text, "currantreel_pause_seconds");
     gauge("currantreel_requests_in_progress", m_system->size());
     gauge("currantreel_requests_queued", m_system->waiting());
     gauge("currantreel_backend_servers", m_system->directory().size());
--- a/currantreel/src/Shell/ForwardOperators.h
+++ b/currantreel/src/Shell/ForwardOperators.h
@@ -2,6 +2,7 @@
 #define CURRANTREEL_SHELL_FORWARDOPERATORS_H
 
 #include "../Forward/ForwardSystem.h"
+#include "../Log/Log.h"
 #include "../Settings/HostSettings.h"
 #include "EventHandles.h"
 #include <functional>
@@ -12,8 +13,8 @@
 class ForwardOperators
 {
 public:
-    ForwardOperators(event_base *base, const HostSettings &settings, const ForwardSystem &system,
-                     std::function<bool()> isReady);
+    ForwardOperators(event_base *base, const HostSettings &settings, const Log &log,
+                     const ForwardSystem &system, std::function<bool()> isReady);
 
     /// Starts to listen. False if the address cannot be had.
     [[nodiscard]] bool listen();
@@ -25,6 +26,7 @@
     [[nodiscard]] std::string metricsBody() const;
 
     const HostSettings *m_settings;
+    const Log *m_log;
     const ForwardSystem *m_system;
     std::function<bool()> m_isReady;
     HttpServerHandle m_server;
