--- a/test/ConfigurationPageTest.cpp
+++ b/test/ConfigurationPageTest.cpp
@@ -63,11 +63,16 @@
     const auto settings = parseHostSettings("zz = 1\n[host]\nzz = 1\n[listen]\nzz = 1\n[platform]\n"
                                             "zz = 1\n[cluster]\nzz = 1\n[limits]\nzz = 1\n",
                                             "settings");
+    const auto forwarding = parseHostSettings("zz = 1\nstop_grace_s = 1\n[host]\nzz = 1\n[listen]\n"
+                                              "zz = 1\n[platform]\nzz = 1\n[forward]\nzz = 1\n",
+                                              "settings");
     Keys keys = keysOf(std::get<PatchRefusal>(judged).faults);
     keys.merge(keysOf(std::get<FaultList>(settings)));
+    keys.merge(keysOf(std::get<FaultList>(forwarding)));
     // Tables stand in the page by their keys.
-    for (const char *table : { "floor_permille", "class", "workspace", "model", "backend_server",
-                               "remove", "host", "listen", "platform", "cluster", "limits" })
+    for (const char *table :
+         { "floor_permille", "class", "workspace", "model", "backend_server", "remove", "host",
+           "listen", "platform", "cluster", "limits", "forward" })
         CHECK(keys.erase(table) == 1);
     const Keys page = keysOfPage();
     CHECK(keys.size() > 40);
--- a/test/SettingsTest.cpp
+++ b/test/SettingsTest.cpp
@@ -87,3 +87,28 @@
     CHECK_FALSE(parseAddress("127.0.0.1:65536"));
     CHECK_FALSE(parseAddress("127.0.0.1"));
 }
+
+TEST_CASE("settings with a forward table need no cluster secret and are checked")
+{
+    const std::string rest =
+        "stop_grace_s = 8.5\n[host]\nname = \"h\"\nfailure_domain = \"a\"\n[listen]\n"
+        "callers = \"127.0.0.1:1\"\noperators = \"127.0.0.1:2\"\n"
+        "peers = \"127.0.0.1:3\"\n[platform]\naddresses = [\"127.0.0.1:4\"]\n";
+    const auto good = parseHostSettings(
+        rest + "[forward]\nretry_ratio = 1\nretry_slack = 52\nseeds = [\"127.0.0.1:5\"]\n", "file");
+    REQUIRE(std::holds_alternative<HostSettings>(good));
+    const auto &settings = std::get<HostSettings>(good);
+    REQUIRE(settings.forward);
+    CHECK(settings.forward->retrySlack == 52.0);
+    CHECK(settings.forward->seeds.size() == 1);
+    CHECK(settings.stopGrace == std::chrono::milliseconds(8500));
+    const auto codeOf = [&rest](const std::string &forward) {
+        const auto bad = parseHostSettings(rest + "[forward]\n" + forward, "file");
+        REQUIRE(std::holds_alternative<FaultList>(bad));
+        return std::get<FaultList>(bad).front().code;
+    };
+    CHECK(codeOf("retry_ratio = -1\n") == ResultCode::SettingsOutOfRange);
+    CHECK(codeOf("retry_ratio = \"x\"\n") == ResultCode::SettingsWrongType);
+    CHECK(codeOf("seeds = [\"nowhere\"]\n") == ResultCode::SettingsBadAddress);
+    CHECK(codeOf("other = 1\n") == ResultCode::SettingsUnknownKey);
+}
