Never pass on a promise that the server did not make

Cause, found by reading: an answer 408 or 429 without the server's word that it did not run the request was passed on as it came (503 was not). It now becomes 502. Test first: ForwardTest, the server answers with a promise without saying so.

--- a/currantreel/src/Forward/ForwardAttempts.cpp
+++ b/currantreel/src/Forward/ForwardAttempts.cpp
@@ -18,6 +18,18 @@
     return status >= 200 && status < 300;
 }
 
+/// True if the server states that it did not run the request.
+bool isNotRun(const AnswerStatus &answer)
+{
+    return answer.saysNotRun || answer.status == detail::statusMisdirected;
+}
+
+/// True for answers that are not simply passed on.
+bool isFailure(const AnswerStatus &answer)
+{
+    return answer.status >= firstFailureStatus || promisesNotRun(answer.status) || isNotRun(answer);
+}
+
 } // namespace
 
 ForwardSystem::Call *ForwardSystem::callOf(AttemptId attempt)
@@ -126,55 +138,58 @@
     return true;
 }
 
-void ForwardSystem::onAnswer(TimePoint now, AttemptId attempt, const AnswerStatus &answer)
+void ForwardSystem::judgeServer(TimePoint now, const Call &call, const AnswerStatus &answer)
 {
-    Call *call = callOf(attempt);
-    if (!call)
+    ForwardServer *server = m_directory.find(call.server);
+    if (!server)
         return;
-    ForwardServer *server = m_directory.find(call->server);
-    const bool isNotRun = answer.saysNotRun || answer.status == detail::statusMisdirected;
-    const bool isFailure = answer.status >= firstFailureStatus;
-    if (server)
-        m_directory.noteAnswer(*server);
-    if (server && answer.status == detail::statusMisdirected)
+    m_directory.noteAnswer(*server);
+    if (answer.status == detail::statusMisdirected)
         server->health.unreachable(now);
-    else if (server && isFailure && !isNotRun)
+    else if (isFailure(answer) && !isNotRun(answer))
         server->health.failed(now);
-    else if (server && !isNotRun)
+    else if (!isNotRun(answer))
         server->health.succeeded();
-    if (!isFailure && !isNotRun) {
-        if (call->state != State::Relayed) {
-            if (now > call->targetAt)
-                ++m_counters.late;
-            m_effects.emplace_back(RelayForward{ call->id, attempt });
-        }
-        finish(now, *call, answer);
+}
+
+void ForwardSystem::onAnswer(TimePoint now, AttemptId attempt, const AnswerStatus &answer)
+{
+    Call *call = callOf(attempt);
+    if (!call)
+        return;
+    judgeServer(now, *call, answer);
+    if (!isFailure(answer)) {
+        passOn(now, *call, answer);
         return;
     }
-    if (!isNotRun)
+    const bool hasRun = !isNotRun(answer);
+    if (hasRun)
         call->mayHaveRun = true;
-    const bool isPassedOn = !isNotRun && !promisesNotRun(answer.status) && !call->hasBegun;
-    if (mayRepeat(*call, !isNotRun)) {
-        const AttemptId ended = call->attempt;
-        settleLoad(*call);
-        call->attempt = {};
+    if (mayRepeat(*call, hasRun)) {
         if (!hasUntriedServer(*call))
             call->retryAt = now + timing::retryDelay;
-        if (tryAgain(now, *call, !isNotRun)) {
-            m_attempts.erase(ended);
-            m_effects.emplace_back(CancelForward{ ended });
+        if (tryAgain(now, *call, hasRun)) {
+            dropAttempt(*call);
             dispatchWaiting(now);
             return;
         }
-        call->attempt = ended;
-        call->server = {};
     }
-    if (isPassedOn) {
-        m_effects.emplace_back(RelayForward{ call->id, attempt });
-        finish(now, *call, answer);
+    // A failure of the server's own is passed on as it is, unless its status would be a false promise.
+    if (hasRun && !promisesNotRun(answer.status) && !call->hasBegun) {
+        passOn(now, *call, answer);
         return;
     }
-    giveUp(now, *call, isNotRun ? ResultCode::BackendServersBusy : ResultCode::BackendServerLost);
+    giveUp(now, *call, hasRun ? ResultCode::BackendServerLost : ResultCode::BackendServersBusy);
+}
+
+void ForwardSystem::passOn(TimePoint now, Call &call, const AnswerStatus &answer)
+{
+    if (call.state != State::Relayed) {
+        if (now > call.targetAt)
+            ++m_counters.late;
+        m_effects.emplace_back(RelayForward{ call.id, call.attempt });
+    }
+    finish(now, call, answer);
 }
 
 void ForwardSystem::onFailed(TimePoint now, AttemptId attempt, AttemptFailure failure)
--- a/currantreel/src/Forward/ForwardSystem.h
+++ b/currantreel/src/Forward/ForwardSystem.h
@@ -123,6 +123,8 @@
     [[nodiscard]] bool mayRepeat(const Call &call, bool hasRun) const;
     [[nodiscard]] bool hasUntriedServer(const Call &call);
     [[nodiscard]] bool tryAgain(TimePoint now, Call &call, bool hasRun);
+    void judgeServer(TimePoint now, const Call &call, const AnswerStatus &answer);
+    void passOn(TimePoint now, Call &call, const AnswerStatus &answer);
     void giveUp(TimePoint now, Call &call, ResultCode code);
     void finish(TimePoint now, Call &call, const AnswerStatus &answer);
     void end(RequestId request);
--- /dev/null
+++ b/currantreel/src/Shell/ForwardReplies.cpp
@@ -0,0 +1,123 @@
+#include "ForwardRows.h"
+
+#include "../Forward/NotRunPromise.h"
+#include "../Forward/RequestHead.h"
+#include "HttpReply.h"
+
+/// @file
+/// What callers get: the relayed answers, refusals, and replies that are cut off.
+
+namespace currantreel {
+
+void ForwardFront::beginReply(Exchange &exchange, const Attempt &attempt)
+{
+    evkeyvalq *headers = evhttp_request_get_output_headers(exchange.request);
+    for (const HttpHeader &header : endToEndHeaders(attempt.head.headers)) {
+        if (!isSameName(header.name, "Content-Length"))
+            evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
+    }
+    if (m_isClosing)
+        evhttp_add_header(headers, "Connection", "close");
+}
+
+void ForwardFront::handle(const RelayForward &effect)
+{
+    Exchange *exchange = find(effect.request);
+    Attempt *attempt = find(effect.attempt);
+    if (!exchange || !attempt || !exchange->request)
+        return;
+    exchange->relayed = effect.attempt;
+    if (!attempt->isEventStream)
+        return;
+    if (!exchange->hasBegun) {
+        exchange->hasBegun = true;
+        beginReply(*exchange, *attempt);
+        evhttp_send_reply_start(exchange->request, attempt->head.status, nullptr);
+    }
+    passEvents(*exchange, *attempt);
+}
+
+void ForwardFront::passEvents(Exchange &exchange, Attempt &attempt)
+{
+    if (!exchange.request || !attempt.events.hasWhole())
+        return;
+    const std::string events = attempt.events.takeWhole();
+    exchange.lastEventId = attempt.events.lastId();
+    const BufferHandle chunk = makeBuffer();
+    evbuffer_add(chunk.get(), events.data(), events.size());
+    evhttp_send_reply_chunk_with_cb(exchange.request, chunk.get(), &ForwardFront::onReplyDrained,
+                                    &exchange);
+    bufferevent *stream =
+        evhttp_connection_get_bufferevent(evhttp_request_get_connection(exchange.request));
+    const std::size_t unsent = evbuffer_get_length(bufferevent_get_output(stream));
+    if (unsent > m_settings->limits.streamBufferBytes && !exchange.isPaused) {
+        exchange.isPaused = true;
+        attempt.outgoing->setReading(false);
+    }
+}
+
+void ForwardFront::detachCaller(Exchange &exchange)
+{
+    evhttp_connection *connection = evhttp_request_get_connection(exchange.request);
+    m_sending.insert(connection);
+    evhttp_connection_set_closecb(connection, &ForwardFront::onAnsweredClosed, this);
+    bufferevent *stream = evhttp_connection_get_bufferevent(connection);
+    bufferevent_setwatermark(stream, EV_READ, 0, 0);
+    const timeval idle = toTimeval(m_idleTimeout);
+    bufferevent_set_timeouts(stream, &idle, &idle);
+    exchange.request = nullptr;
+}
+
+void ForwardFront::handle(const FinishForward &effect)
+{
+    Exchange *exchange = find(effect.request);
+    Attempt *attempt = exchange ? find(exchange->relayed) : nullptr;
+    if (exchange && attempt && exchange->request) {
+        evhttp_request *request = exchange->request;
+        if (exchange->hasBegun) {
+            detachCaller(*exchange);
+            evhttp_send_reply_end(request);
+        } else {
+            beginReply(*exchange, *attempt);
+            detachCaller(*exchange);
+            const std::string events = attempt->events.takeWhole();
+            evbuffer_add(attempt->body.get(), events.data(), events.size());
+            evhttp_send_reply(request, attempt->head.status, nullptr, attempt->body.get());
+        }
+    }
+    close(effect.request);
+}
+
+void ForwardFront::handle(const RefuseForward &effect)
+{
+    Exchange *exchange = find(effect.request);
+    if (exchange && exchange->request) {
+        evhttp_request *request = exchange->request;
+        detachCaller(*exchange);
+        evkeyvalq *headers = evhttp_request_get_output_headers(request);
+        if (m_isClosing)
+            evhttp_add_header(headers, "Connection", "close");
+        HttpHeaders advice;
+        if (effect.retryAfter > Duration::zero())
+            platform::addRetryAfter(advice, effect.retryAfter);
+        for (const HttpHeader &header : advice)
+            evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
+        sendReply(request, refusalStatus(effect.code, effect.outcome), jsonType,
+                  errorBody(effect.code, effect.outcome, effect.retryAfter));
+    }
+    close(effect.request);
+}
+
+void ForwardFront::handle(const BreakForward &effect)
+{
+    Exchange *exchange = find(effect.request);
+    if (exchange && exchange->request) {
+        evhttp_connection *connection = evhttp_request_get_connection(exchange->request);
+        evhttp_connection_set_closecb(connection, nullptr, nullptr);
+        exchange->request = nullptr;
+        m_broken.push_back(connection);
+    }
+    close(effect.request);
+}
+
+} // namespace currantreel
--- a/test/ForwardTest.cpp
+++ b/test/ForwardTest.cpp
@@ -103,13 +103,17 @@
         CHECK(refusalStatus(refusal.code, refusal.outcome) == 503);
         CHECK(refusal.retryAfter > Duration::zero());
     }
-    SUBCASE("the server answers 503 without saying that it did not run it")
+    SUBCASE("the server answers with a promise without saying that it did not run it")
     {
-        const auto [written, refusal] = play(true, [](ForwardFixture &fixture, AttemptId attempt) {
-            fixture.answer(attempt, 503, false);
-        });
-        CHECK(written == 1);
-        CHECK_FALSE(promisesNotRun(refusalStatus(refusal.code, refusal.outcome)));
+        for (const int status : { 408, 429, 503 }) {
+            CAPTURE(status);
+            const auto answer = [status](ForwardFixture &fixture, AttemptId attempt) {
+                fixture.answer(attempt, status, false);
+            };
+            const auto [written, refusal] = play(true, answer);
+            CHECK(written == 1);
+            CHECK_FALSE(promisesNotRun(refusalStatus(refusal.code, refusal.outcome)));
+        }
     }
 }
 
