--- a/currantreel/src/Forward/ForwardAttempts.cpp
+++ b/currantreel/src/Forward/ForwardAttempts.cpp
@@ -1,7 +1,7 @@
 #include "ForwardSystem.h"
 
 #include "ForwardTiming.h"
-#include "NotRunPromise.h"
+#include "RefusalStatus.h"
 #include <algorithm>
 
 /// @file
@@ -27,7 +27,7 @@
 /// True for answers that are not simply passed on.
 bool isFailure(const AnswerStatus &answer)
 {
-    return answer.status >= firstFailureStatus || promisesNotRun(answer.status) || isNotRun(answer);
+    return answer.status >= firstFailureStatus || impliesNotRun(answer.status) || isNotRun(answer);
 }
 
 } // namespace
@@ -174,8 +174,8 @@
             return;
         }
     }
-    // A failure of the server's own is passed on as it is, unless its status would be a false promise.
-    if (hasRun && !promisesNotRun(answer.status) && !call->hasBegun) {
+    // A failure of the server's own is passed on as it is, unless its status would wrongly imply that it did not run.
+    if (hasRun && !impliesNotRun(answer.status) && !call->hasBegun) {
         passOn(now, *call, answer);
         return;
     }
@@ -232,8 +232,8 @@
     } else {
         ++m_counters.refused[code];
         const bool isNotRun = outcome == Outcome::NotRun;
-        m_effects.emplace_back(RefuseForward{ call.id, code, outcome,
-                                              isNotRun ? retryAfter(call) : Duration::zero() });
+        m_effects.emplace_back(RefuseForward{
+            call.id, code, outcome, isNotRun ? timing::defaultRetryAfter : Duration::zero() });
     }
     end(call.id);
     dispatchWaiting(now);
--- a/currantreel/src/Forward/ForwardSystem.cpp
+++ b/currantreel/src/Forward/ForwardSystem.cpp
@@ -1,7 +1,7 @@
 #include "ForwardSystem.h"
 
 #include "ForwardTiming.h"
-#include "NotRunPromise.h"
+#include "RefusalStatus.h"
 #include <algorithm>
 
 namespace currantreel {
@@ -249,11 +249,6 @@
     m_calls.remove(request);
 }
 
-Duration ForwardSystem::retryAfter(const Call & /*call*/) const
-{
-    return timing::defaultRetryAfter;
-}
-
 DecisionNote ForwardSystem::noteOf(TimePoint now, const Call &call, DecisionKind kind) const
 {
     DecisionNote decision;
--- a/currantreel/src/Forward/ForwardSystem.h
+++ b/currantreel/src/Forward/ForwardSystem.h
@@ -130,7 +130,6 @@
     void end(RequestId request);
     void checkCall(TimePoint now, Call &call);
     [[nodiscard]] bool isSilent(TimePoint now, const Call &call) const;
-    [[nodiscard]] Duration retryAfter(const Call &call) const;
     [[nodiscard]] DecisionNote noteOf(TimePoint now, const Call &call, DecisionKind kind) const;
     void note(DecisionNote note);
 
--- a/currantreel/src/Forward/NotRunPromise.h
+++ b/currantreel/src/Forward/RefusalStatus.h
@@ -1,5 +1,5 @@
-#ifndef CURRANTREEL_FORWARD_NOTRUNPROMISE_H
-#define CURRANTREEL_FORWARD_NOTRUNPROMISE_H
+#ifndef CURRANTREEL_FORWARD_REFUSALSTATUS_H
+#define CURRANTREEL_FORWARD_REFUSALSTATUS_H
 
 #include "../Core/Outcome.h"
 #include "../Core/ResultCode.h"
@@ -17,13 +17,13 @@
 } // namespace detail
 
 /// True for an HTTP status that tells the caller that its request has not run and never will.
-[[nodiscard]] constexpr bool promisesNotRun(int status)
+[[nodiscard]] constexpr bool impliesNotRun(int status)
 {
     return status == detail::statusRequestTimeout || status == detail::statusMisdirected
            || status == detail::statusTooManyRequests || status == detail::statusUnavailable;
 }
 
-/// HTTP status of a refusal with @p code. A status that promises "not run" is given only if the
+/// HTTP status of a refusal with @p code. A status that implies "not run" is given only if the
 /// outcome is NotRun.
 [[nodiscard]] constexpr int refusalStatus(ResultCode code, Outcome outcome)
 {
@@ -31,7 +31,7 @@
     // A request that was never sent did not run into its time limit at a backend server.
     if (code == ResultCode::RequestTimedOut && outcome == Outcome::NotRun)
         return detail::statusUnavailable;
-    if (outcome != Outcome::NotRun && promisesNotRun(status))
+    if (outcome != Outcome::NotRun && impliesNotRun(status))
         return detail::statusBadGateway;
     return status;
 }
--- a/currantreel/src/Shell/ForwardFront.cpp
+++ b/currantreel/src/Shell/ForwardFront.cpp
@@ -314,7 +314,7 @@
                          && (isSuccess || !attempt.marks.callerId.empty());
     if (isOther)
         fail(attempt, AttemptFailure::WrongAnswer);
-    else if (isSuccess && (!attempt.marks.hasProof || attempt.marks.isEncoded))
+    else if (isSuccess && (!attempt.marks.isSigned || attempt.marks.isEncoded))
         fail(attempt, AttemptFailure::Broken);
 }
 
--- a/currantreel/src/Shell/ForwardReplies.cpp
+++ b/currantreel/src/Shell/ForwardReplies.cpp
@@ -1,6 +1,6 @@
 #include "ForwardRows.h"
 
-#include "../Forward/NotRunPromise.h"
+#include "../Forward/RefusalStatus.h"
 #include "../Forward/RequestHead.h"
 #include "HttpReply.h"
 
--- a/test/ForwardTest.cpp
+++ b/test/ForwardTest.cpp
@@ -76,7 +76,7 @@
         });
         CHECK(written == 1);
         CHECK(refusal.outcome == Outcome::Unknown);
-        CHECK_FALSE(promisesNotRun(refusalStatus(refusal.code, refusal.outcome)));
+        CHECK_FALSE(impliesNotRun(refusalStatus(refusal.code, refusal.outcome)));
     }
     SUBCASE("the server stays silent")
     {
@@ -91,7 +91,7 @@
             fixture.fail(attempt, AttemptFailure::WrongAnswer);
         });
         CHECK(written == 1);
-        CHECK_FALSE(promisesNotRun(refusalStatus(refusal.code, refusal.outcome)));
+        CHECK_FALSE(impliesNotRun(refusalStatus(refusal.code, refusal.outcome)));
     }
     SUBCASE("the server refuses it: the caller may come back")
     {
@@ -103,7 +103,7 @@
         CHECK(refusalStatus(refusal.code, refusal.outcome) == 503);
         CHECK(refusal.retryAfter > Duration::zero());
     }
-    SUBCASE("the server answers with a promise without saying that it did not run it")
+    SUBCASE("the status implies that it did not run, but the server does not say so")
     {
         for (const int status : { 408, 429, 503 }) {
             CAPTURE(status);
@@ -112,7 +112,7 @@
             };
             const auto [written, refusal] = play(true, answer);
             CHECK(written == 1);
-            CHECK_FALSE(promisesNotRun(refusalStatus(refusal.code, refusal.outcome)));
+            CHECK_FALSE(impliesNotRun(refusalStatus(refusal.code, refusal.outcome)));
         }
     }
 }
--- a/test/NotRunPromiseTest.cpp
+++ b/test/RefusalStatusTest.cpp
@@ -3,13 +3,13 @@
 
 using namespace currantreel;
 
-TEST_CASE("no refusal promises that a request has not run when it may have")
+TEST_CASE("no refusal implies that a request has not run when it may have")
 {
     for (const ResultCodeInfo &entry : resultCodeTable) {
         if (entry.httpStatus == 0)
             continue;
         CAPTURE(entry.name);
-        CHECK_FALSE(promisesNotRun(refusalStatus(entry.code, Outcome::Unknown)));
+        CHECK_FALSE(impliesNotRun(refusalStatus(entry.code, Outcome::Unknown)));
     }
 }
 
