Hold removals only after a real outage, and not beyond the bound

The host's watch had been without an answer for over a second, as any long watch is when its connection goes silent; that counted as an outage of the store, and removals were held for 2 s. Ruled out: a missed change (the host had it 2 ms after the others). An outage is now a second of failing calls, and removals are held for 1.7 s.

--- a/currantreel/src/Fleet/FleetSystem.cpp
+++ b/currantreel/src/Fleet/FleetSystem.cpp
@@ -28,6 +28,8 @@
 constexpr Duration forgetAfter = 120s;
 /// Loads older than this count for nothing.
 constexpr Duration loadLifetime = 1500ms;
+/// Time in which a host that reads the platform itself learns of a change.
+constexpr Duration readingLag = 250ms;
 /// Time until published items are sent once more to a host that still is behind.
 constexpr Duration itemsInterval = 400ms;
 /// Most bytes of published items in one message.
@@ -138,15 +140,26 @@
     return news;
 }
 
+bool FleetSystem::isBehind(const Host &host, TimePoint now, std::uint64_t revision) const
+{
+    if (!isPresent(host, now) || host.news.revision >= revision)
+        return false;
+    // A host that reads the platform itself is behind only if it still is some time after the change:
+    // its connection may have gone silent.
+    return !host.news.readsPlatform || host.heardAt >= m_revisionAt + readingLag;
+}
+
 void FleetSystem::sendItems(TimePoint now, const PublishedState &state,
                             std::vector<FleetOutgoing> &outgoing)
 {
+    if (state.revision() > m_revision) {
+        m_revision = state.revision();
+        m_revisionAt = now;
+    }
     for (auto &[id, host] : m_hosts) {
-        const bool isBehind = isPresent(host, now) && !host.news.readsPlatform
-                              && host.news.revision < state.revision();
         const bool isDue =
             host.sentRevision < state.revision() || now - host.sentItemsAt >= itemsInterval;
-        if (!isBehind || !isDue)
+        if (!isBehind(host, now, state.revision()) || !isDue)
             continue;
         std::vector<PublishedItem> items = firstItems(state.changesAfter(host.news.revision));
         if (items.empty())
--- a/currantreel/src/Fleet/FleetSystem.h
+++ b/currantreel/src/Fleet/FleetSystem.h
@@ -31,7 +31,8 @@
 /// The other hosts as this one knows them: found through seeds and through each other, each telling its
 /// work at the backend servers and how far it has read what the platform publishes.
 ///
-/// A host that the platform does not answer gets published items from those that it answers. The bytes
+/// A host that the platform does not answer, or that stays behind the others, gets published items from
+/// those that have them. The bytes
 /// sent in a second are bounded, whatever the number of hosts. Pure: time comes as an argument.
 class FleetSystem
 {
@@ -79,6 +80,7 @@
     void meet(TimePoint now, const Address &address, bool isSeed);
     [[nodiscard]] std::vector<HostId> recipients(TimePoint now);
     [[nodiscard]] FleetNews newsOf(const FleetSelf &self, TimePoint now);
+    [[nodiscard]] bool isBehind(const Host &host, TimePoint now, std::uint64_t revision) const;
     void sendItems(TimePoint now, const PublishedState &state,
                    std::vector<FleetOutgoing> &outgoing);
     [[nodiscard]] bool isPresent(const Host &host, TimePoint now) const;
@@ -86,6 +88,8 @@
     Address m_self;
     std::mt19937_64 m_random;
     std::map<HostId, Host> m_hosts;
+    std::uint64_t m_revision = 0; ///< Of the published state, as last seen.
+    TimePoint m_revisionAt; ///< When it rose.
     TimePoint m_nextNewsAt;
     TimePoint m_nextProbeAt;
     bool m_isStarted = false;
--- a/currantreel/src/Forward/PublishedReader.h
+++ b/currantreel/src/Forward/PublishedReader.h
@@ -47,12 +47,13 @@
 struct PublishedReaderTiming
 {
     Duration watch = std::chrono::seconds(2); ///< Longest wait of one watch.
-    Duration silence = std::chrono::milliseconds(500); ///< Beyond it, until a call is given up.
+    Duration silence = std::chrono::milliseconds(400); ///< Beyond it, until a call is given up.
     Duration shortestBackoff = std::chrono::milliseconds(100);
     Duration longestBackoff = std::chrono::milliseconds(800);
-    /// After an outage, entries that are missing are kept for this long.
-    Duration lapseHold = std::chrono::seconds(2);
-    /// Time without an answer that counts as an outage.
+    /// After an outage, entries that are missing are kept for this long: most writers renew theirs in
+    /// that time, and a server that really left gets nothing new soon enough.
+    Duration lapseHold = std::chrono::milliseconds(1'700);
+    /// Time of failing calls that counts as an outage.
     Duration outage = std::chrono::milliseconds(1'000);
 };
 
@@ -73,7 +74,7 @@
     /// Starts to read.
     void start(TimePoint now)
     {
-        m_answeredAt = now;
+        m_failingSince = now;
         beginListing();
     }
 
@@ -114,6 +115,8 @@
             return;
         }
         m_listed.clear();
+        if (!isFailing())
+            m_failingSince = now;
         m_backoff = std::clamp(m_backoff * 2, m_timing.shortestBackoff, m_timing.longestBackoff);
         m_retryAt = now + m_backoff;
     }
@@ -134,14 +137,12 @@
     [[nodiscard]] bool isComplete() const { return m_isComplete; }
     /// True while calls fail.
     [[nodiscard]] bool isFailing() const { return m_backoff > Duration::zero(); }
-    [[nodiscard]] TimePoint answeredAt() const { return m_answeredAt; }
 
 private:
     void answered(TimePoint now)
     {
-        if (isFailing() && now - m_answeredAt >= m_timing.outage)
+        if (isFailing() && now - m_failingSince >= m_timing.outage)
             m_state->holdRemovals(now + m_timing.lapseHold);
-        m_answeredAt = now;
         m_backoff = Duration::zero();
         m_retryAt.reset();
     }
@@ -162,7 +163,7 @@
     std::uint64_t m_listRevision = 0;
     std::uint64_t m_watched = 0;
     bool m_isComplete = false;
-    TimePoint m_answeredAt;
+    TimePoint m_failingSince; ///< First failed call of the present row.
     Duration m_backoff{};
     std::optional<TimePoint> m_retryAt;
 };
--- a/test/FleetSystemTest.cpp
+++ b/test/FleetSystemTest.cpp
@@ -101,6 +101,21 @@
     CHECK(hosts.states[3].revision() == 8);
 }
 
+TEST_CASE("a host whose connection to the platform went silent gets changes from the others")
+{
+    Hosts hosts(4);
+    for (FleetSelf &self : hosts.selves)
+        self.readsPlatform = true;
+    for (PublishedState &state : hosts.states)
+        state.apply(hosts.now, { PublishedItem{ "server", "ready", 6, false } });
+    hosts.pass(3s);
+    // The last host still takes its silent watch for a quiet one.
+    for (std::size_t i = 0; i < 3; ++i)
+        hosts.states[i].apply(hosts.now, { PublishedItem{ "server", "leaving", 7, false } });
+    hosts.pass(1500ms);
+    CHECK(hosts.states[3].revision() == 7);
+}
+
 TEST_CASE("the work of others counts while they are heard, and not for long after")
 {
     Hosts hosts(3);
