End a silent attempt by the one function that drops attempts

Found on reading the change again; behaviour stays. checkCall wrote out what dropAttempt does, looked a call up that cannot have gone, and built a whole placing request, with the split of engines, for each waiting request and tick only to ask whether its service has servers.

--- a/currantreel/src/Forward/ForwardAttempts.cpp
+++ b/currantreel/src/Forward/ForwardAttempts.cpp
@@ -174,7 +174,8 @@
             return;
         }
     }
-    // A failure of the server's own is passed on as it is, unless its status would wrongly imply that it did not run.
+    // A failure of the server's own is passed on as it is, unless its status would wrongly imply that
+    // the request did not run.
     if (hasRun && !impliesNotRun(answer.status) && !call->hasBegun) {
         passOn(now, *call, answer);
         return;
@@ -270,7 +271,6 @@
 
 void ForwardSystem::checkCall(TimePoint now, Call &call)
 {
-    const RequestId id = call.id;
     if (now >= call.endAt) {
         if (call.isWritten && call.attempt.isValid())
             call.mayHaveRun = true;
@@ -278,7 +278,7 @@
         return;
     }
     if (call.state == State::Waiting) {
-        const bool hasServers = hasServer(m_directory, placementOf(now, call));
+        const bool hasServers = !m_directory.usable(call.service).empty();
         if (!hasServers && !call.hasBegun && now >= call.retryAt)
             giveUp(now, call, ResultCode::NoBackendServer);
         else if (now >= call.queuedUntil)
@@ -294,18 +294,13 @@
     call.mayHaveRun = true;
     if (ForwardServer *server = m_directory.find(call.server))
         server->health.failed(now);
-    const AttemptId silent = call.attempt;
-    if (tryAgain(now, call, true)) {
-        m_effects.emplace_back(CancelForward{ silent });
-        m_attempts.erase(silent);
-        settleLoad(call);
-        call.attempt = {};
-        dispatchWaiting(now);
+    if (!tryAgain(now, call, true)) {
+        // No room in the allowance: look again after another silence.
+        call.progressAt = now;
         return;
     }
-    // No room in the allowance: look again after another silence.
-    if (Call *kept = m_calls.find(id))
-        kept->progressAt = now;
+    dropAttempt(call);
+    dispatchWaiting(now);
 }
 
 void ForwardSystem::run(TimePoint now)
--- a/currantreel/src/Forward/ServerPlacement.cpp
+++ b/currantreel/src/Forward/ServerPlacement.cpp
@@ -155,9 +155,4 @@
     return best;
 }
 
-bool hasServer(ServerDirectory &directory, const PlacementRequest &request)
-{
-    return !directory.usable(request.service).empty();
-}
-
 } // namespace currantreel
--- a/currantreel/src/Forward/ServerPlacement.h
+++ b/currantreel/src/Forward/ServerPlacement.h
@@ -30,9 +30,6 @@
 [[nodiscard]] ForwardServer *chooseServer(ServerDirectory &directory,
                                           const PlacementRequest &request, TimePoint now);
 
-/// True if some server of the service could take requests, full or not.
-[[nodiscard]] bool hasServer(ServerDirectory &directory, const PlacementRequest &request);
-
 } // namespace currantreel
 
 #endif
