--- a/currantreel/src/Shell/Daemon.cpp
+++ b/currantreel/src/Shell/Daemon.cpp
@@ -1,6 +1,7 @@
 #include "Daemon.h"
 
 #include "../World/Timing.h"
+#include "SteadyNow.h"
 #include <csignal>
 #include <sodium.h>
 
@@ -63,12 +64,6 @@
 {
 }
 
-TimePoint Daemon::now()
-{
-    const auto sinceOrigin = std::chrono::steady_clock::now().time_since_epoch();
-    return TimePoint(std::chrono::duration_cast<Duration>(sinceOrigin));
-}
-
 int Daemon::run()
 {
     if (!m_callers.listen() || !m_operators.listen() || !m_peers.listen()) {
@@ -107,11 +102,11 @@
 void Daemon::tick()
 {
     const std::vector<Event> events = std::exchange(m_events, {});
-    for (const Effect &effect : m_world.step(now(), events))
+    for (const Effect &effect : m_world.step(steadyNow(), events))
         std::visit([this](const auto &one) { handle(one); }, effect);
     m_callers.sweep();
     m_log.flush();
-    if (m_isStopping && now() > m_stopBy)
+    if (m_isStopping && steadyNow() > m_stopBy)
         event_base_loopbreak(m_base.get());
 }
 
@@ -125,7 +120,7 @@
     if (m_isStopping)
         return;
     m_isStopping = true;
-    m_stopBy = now() + m_settings->stopGrace;
+    m_stopBy = steadyNow() + m_settings->stopGrace;
     m_log.write("stopping",
                 { { "requests_in_progress", std::to_string(m_world.requestsInProgress()) } });
     post(StopOrdered{});
@@ -139,7 +134,7 @@
 void Daemon::handle(const StartAttempt &effect)
 {
     // The process may have been paused since the step that granted the slot.
-    if (now() > effect.notAfter)
+    if (steadyNow() > effect.notAfter)
         post(AttemptFailed{ effect.attempt, false });
     else
         m_callers.handle(effect);
--- a/currantreel/src/Shell/Daemon.h
+++ b/currantreel/src/Shell/Daemon.h
@@ -41,7 +41,6 @@
         m_callers.handle(effect);
     }
 
-    static TimePoint now();
     static void onTick(int descriptor, short what, void *self);
     static void onSignal(int signal, short what, void *self);
 
--- a/currantreel/src/Shell/ForwardDaemon.cpp
+++ b/currantreel/src/Shell/ForwardDaemon.cpp
@@ -1,6 +1,7 @@
 #include "ForwardDaemon.h"
 
 #include "../Settings/CheckedTable.h"
+#include "SteadyNow.h"
 #include <csignal>
 #include <fmt/format.h>
 #include <random>
@@ -95,11 +96,11 @@
               storeCallbacks(
                   [this](const PublishedPage &page) {
                       setStoreReachable(true, {});
-                      apply(now(), m_reader.onPage(now(), page));
+                      apply(steadyNow(), m_reader.onPage(steadyNow(), page));
                   },
                   [this](const PublishedChanges &changes) {
                       setStoreReachable(true, {});
-                      apply(now(), m_reader.onChanges(now(), changes));
+                      apply(steadyNow(), m_reader.onChanges(steadyNow(), changes));
                   },
                   [this](ReadFailure failure, const std::string &detail) {
                       onStoreFailed(failure, detail);
@@ -127,12 +128,6 @@
     m_fleet.setSeeds(m_settings.forward->seeds);
 }
 
-TimePoint ForwardDaemon::now()
-{
-    const auto sinceOrigin = std::chrono::steady_clock::now().time_since_epoch();
-    return TimePoint(std::chrono::duration_cast<Duration>(sinceOrigin));
-}
-
 int ForwardDaemon::run()
 {
     if (!m_callers.listen() || !m_operators.listen() || !m_peers.listen()) {
@@ -154,7 +149,7 @@
                              { "operators", toText(m_settings.operators) },
                              { "failure_domain", m_settings.failureDomain },
                              { "peers_proven", "false" } });
-    m_reader.start(now());
+    m_reader.start(steadyNow());
     m_log.flush();
     event_base_dispatch(m_base.get());
     const std::size_t cutOff = m_callers.exchanges();
@@ -191,7 +186,7 @@
 
 void ForwardDaemon::tick()
 {
-    const TimePoint time = now();
+    const TimePoint time = steadyNow();
     m_reader.run(time);
     apply(time, m_published.takeDueRemovals(time));
     runFleet(time);
@@ -229,7 +224,7 @@
     if (m_isStopping)
         return;
     m_isStopping = true;
-    m_stopStarted = now();
+    m_stopStarted = steadyNow();
     m_callers.beginStop();
     m_log.write("stopping", { { "requests_in_progress", std::to_string(m_callers.exchanges()) } });
 }
@@ -339,9 +334,9 @@
     if (!received)
         return;
     if (const auto *news = std::get_if<FleetNews>(&received->message))
-        m_fleet.receive(now(), received->from, *news);
+        m_fleet.receive(steadyNow(), received->from, *news);
     else if (const auto *items = std::get_if<PublishedNews>(&received->message))
-        apply(now(), m_published.apply(now(), items->items));
+        apply(steadyNow(), m_published.apply(steadyNow(), items->items));
 }
 
 FleetSelf ForwardDaemon::describeSelf(TimePoint time) const
@@ -384,7 +379,7 @@
                     { { "revision", std::to_string(m_published.revision()) } });
     else
         setStoreReachable(false, detail);
-    m_reader.onFailed(now(), failure);
+    m_reader.onFailed(steadyNow(), failure);
 }
 
 void ForwardDaemon::setStoreReachable(bool isReachable, const std::string &detail)
--- a/currantreel/src/Shell/ForwardDaemon.h
+++ b/currantreel/src/Shell/ForwardDaemon.h
@@ -54,7 +54,6 @@
     [[nodiscard]] bool isReady() const;
     void logReadiness();
 
-    static TimePoint now();
     static void onTick(int descriptor, short what, void *self);
     static void onSweep(int descriptor, short what, void *self);
     static void onTerminate(int signal, short what, void *self);
--- a/currantreel/src/Shell/ForwardFront.cpp
+++ b/currantreel/src/Shell/ForwardFront.cpp
@@ -4,6 +4,7 @@
 #include "../Forward/RequestHead.h"
 #include "ForwardRows.h"
 #include "HttpReply.h"
+#include "SteadyNow.h"
 #include <algorithm>
 #include <charconv>
 #include <event2/keyvalq_struct.h>
@@ -87,12 +88,6 @@
     }
 }
 
-TimePoint ForwardFront::now()
-{
-    const auto sinceOrigin = std::chrono::steady_clock::now().time_since_epoch();
-    return TimePoint(std::chrono::duration_cast<Duration>(sinceOrigin));
-}
-
 bool ForwardFront::listen()
 {
     m_socket = evhttp_bind_socket_with_handle(m_server.get(), m_settings->callers.ip.c_str(),
@@ -224,7 +219,7 @@
     bufferevent_enable(stream, EV_READ);
     arrival.request = exchange->id;
     m_exchanges.emplace(exchange->id, std::move(exchange));
-    m_system->onArrived(now(), arrival);
+    m_system->onArrived(steadyNow(), arrival);
     m_pump();
 }
 
@@ -233,7 +228,7 @@
     auto *closed = static_cast<Exchange *>(exchange);
     ForwardFront *front = closed->front;
     closed->request = nullptr;
-    front->m_system->onCallerLeft(now(), closed->id);
+    front->m_system->onCallerLeft(steadyNow(), closed->id);
     front->close(closed->id);
     front->m_pump();
 }
@@ -272,7 +267,7 @@
     outgoing.keepsConnection = true;
     // A request that may not be repeated never meets a connection that the server is about to close.
     if (effect.isRepeatable)
-        outgoing.connection = m_pool.take(effect.address, now());
+        outgoing.connection = m_pool.take(effect.address, steadyNow());
     OutgoingCallbacks callbacks;
     callbacks.onHead = [this, attempt](const AnswerHead &head) { onHead(*attempt, head); };
     callbacks.onBody = [this, attempt](evbuffer *body) { onBody(*attempt, body); };
@@ -334,7 +329,7 @@
     }
     if (!attempt.events.hasWhole())
         return;
-    m_system->onEvents(now(), attempt.id, attempt.status());
+    m_system->onEvents(steadyNow(), attempt.id, attempt.status());
     Exchange *exchange = find(attempt.request);
     if (exchange && exchange->relayed == attempt.id)
         passEvents(*exchange, attempt);
@@ -350,9 +345,9 @@
         return;
     }
     if (HttpConnectionHandle connection = attempt.outgoing->takeConnection())
-        m_pool.keep(attempt.address, std::move(connection), now(),
+        m_pool.keep(attempt.address, std::move(connection), steadyNow(),
                     statedIdleTime(attempt.head.headers));
-    m_system->onAnswer(now(), attempt.id, attempt.status());
+    m_system->onAnswer(steadyNow(), attempt.id, attempt.status());
     m_pump();
 }
 
@@ -365,7 +360,7 @@
 {
     if (attempt.isEnded)
         return;
-    m_system->onFailed(now(), attempt.id, failure);
+    m_system->onFailed(steadyNow(), attempt.id, failure);
     m_pump();
 }
 
--- a/currantreel/src/Shell/ForwardFront.h
+++ b/currantreel/src/Shell/ForwardFront.h
@@ -78,7 +78,6 @@
     void close(RequestId id);
     [[nodiscard]] Exchange *find(RequestId id);
     [[nodiscard]] Attempt *find(AttemptId id);
-    [[nodiscard]] static TimePoint now();
 
     event_base *m_base;
     const HostSettings *m_settings;
--- a/currantreel/src/Shell/PeerLink.cpp
+++ b/currantreel/src/Shell/PeerLink.cpp
@@ -2,6 +2,7 @@
 
 #include "../Peer/FrameReader.h"
 #include "../Peer/PeerCodec.h"
+#include "SteadyNow.h"
 
 namespace currantreel {
 
@@ -28,7 +29,7 @@
 void PeerLink::begin(StreamHandle stream)
 {
     m_stream = std::move(stream);
-    m_receivedAt = now();
+    m_receivedAt = steadyNow();
     m_messageAt = m_receivedAt;
     m_ownGreeting = Greeting{ peerProtocolVersion, m_self.host, m_self.incarnation, drawNonce() };
     bufferevent_setcb(m_stream.get(), &PeerLink::onRead, nullptr, &PeerLink::onEvent, this);
@@ -37,12 +38,6 @@
     bufferevent_enable(m_stream.get(), EV_READ | EV_WRITE);
 }
 
-TimePoint PeerLink::now()
-{
-    const auto sinceOrigin = std::chrono::steady_clock::now().time_since_epoch();
-    return TimePoint(std::chrono::duration_cast<Duration>(sinceOrigin));
-}
-
 void PeerLink::greet()
 {
     m_state = State::Greeting;
@@ -59,7 +54,7 @@
 
 void PeerLink::send(const PeerMessage &message)
 {
-    m_messageAt = now();
+    m_messageAt = steadyNow();
     sendBody(message);
 }
 
@@ -90,7 +85,7 @@
 void PeerLink::read()
 {
     evbuffer *input = bufferevent_get_input(m_stream.get());
-    m_receivedAt = now();
+    m_receivedAt = steadyNow();
     while (m_state != State::Ended && evbuffer_get_length(input) >= framePrefixBytes) {
         std::array<std::uint8_t, framePrefixBytes> prefix{};
         evbuffer_copyout(input, prefix.data(), prefix.size());
@@ -187,7 +182,7 @@
         refuse(ResultCode::PeerNotProven, "message");
         return;
     }
-    m_messageAt = now();
+    m_messageAt = steadyNow();
     m_callbacks.onMessage(*this, message);
 }
 
--- a/currantreel/src/Shell/PeerLink.h
+++ b/currantreel/src/Shell/PeerLink.h
@@ -62,9 +62,6 @@
     [[nodiscard]] std::uint64_t bytesSent() const { return m_bytesSent; }
     [[nodiscard]] std::uint64_t bytesReceived() const { return m_bytesReceived; }
 
-    /// Monotonic time of this process.
-    [[nodiscard]] static TimePoint now();
-
 private:
     enum class State : std::uint8_t { Connecting, Greeting, Proving, Ready, Ended };
 
--- a/currantreel/src/Shell/PeerLinks.cpp
+++ b/currantreel/src/Shell/PeerLinks.cpp
@@ -1,5 +1,6 @@
 #include "PeerLinks.h"
 
+#include "SteadyNow.h"
 #include <algorithm>
 #include <fmt/format.h>
 
@@ -132,7 +133,7 @@
 
 void PeerLinks::dial(HostId host, Peer &peer)
 {
-    const TimePoint now = PeerLink::now();
+    const TimePoint now = steadyNow();
     const SocketAddress address(peer.address);
     if (peer.dialing || now < peer.dialAfter || !address.isValid || m_links.size() >= linkCapacity)
         return;
@@ -196,7 +197,7 @@
     peer.backoff = std::clamp(peer.backoff * 2, shortestBackoff, longestBackoff);
     std::uniform_int_distribution<Duration::rep> jitter(peer.backoff.count() / 2,
                                                         peer.backoff.count());
-    peer.dialAfter = PeerLink::now() + Duration(jitter(m_random));
+    peer.dialAfter = steadyNow() + Duration(jitter(m_random));
     // A new connection failed as well: the silent one is given up.
     if (peer.link && peer.pingedAt != TimePoint()) {
         retire(peer.link);
@@ -217,7 +218,7 @@
 
 void PeerLinks::maintain()
 {
-    const TimePoint now = PeerLink::now();
+    const TimePoint now = steadyNow();
     for (auto &[host, peer] : m_peers)
         maintain(host, peer, now);
     endUnproven(now);
--- /dev/null
+++ b/currantreel/src/Shell/SteadyNow.h
@@ -0,0 +1,17 @@
+#ifndef CURRANTREEL_SHELL_STEADYNOW_H
+#define CURRANTREEL_SHELL_STEADYNOW_H
+
+#include "../Core/Time.h"
+
+namespace currantreel {
+
+/// Monotonic time of this process, as the core takes it.
+[[nodiscard]] inline TimePoint steadyNow()
+{
+    const auto sinceOrigin = std::chrono::steady_clock::now().time_since_epoch();
+    return TimePoint(std::chrono::duration_cast<Duration>(sinceOrigin));
+}
+
+} // namespace currantreel
+
+#endif
--- a/test/PeerLinksTest.cpp
+++ b/test/PeerLinksTest.cpp
@@ -1,5 +1,6 @@
 #include "SwallowingRelay.h"
 #include <currantreel/src/Shell/PeerLinks.h>
+#include <currantreel/src/Shell/SteadyNow.h>
 #include <doctest/doctest.h>
 #include <unistd.h>
 
@@ -46,8 +47,8 @@
 template <typename Condition>
 bool runUntil(event_base *base, Condition condition)
 {
-    const TimePoint end = PeerLink::now() + 10s;
-    while (!condition() && PeerLink::now() < end) {
+    const TimePoint end = steadyNow() + 10s;
+    while (!condition() && steadyNow() < end) {
         const timeval step = toTimeval(10ms);
         event_base_loopexit(base, &step);
         event_base_dispatch(base);
