--- a/currantreel/src/Fleet/FleetMessages.h
+++ b/currantreel/src/Fleet/FleetMessages.h
@@ -2,42 +2,40 @@
 #define CURRANTREEL_FLEET_FLEETMESSAGES_H
 
 #include "../Core/Id.h"
-#include "../Forward/EngineGroups.h"
 #include "../Forward/PublishedState.h"
-#include "../Forward/ServerLoad.h"
 #include "../Settings/Address.h"
 #include <cstdint>
 #include <vector>
 
 namespace currantreel {
 
-/// Requests of the sender at one backend server.
-struct FleetLoad
+/// One host as it introduces itself, passed on by others. A later heartbeat replaces an earlier one.
+struct FleetHost
 {
-    BackendServerId server;
-    ServerLoad load;
+    Address peers; ///< Where other hosts reach it; an IPv4 address.
+    FailureDomainId failureDomain;
+    std::uint64_t heartbeat = 0; ///< Rises while the host runs, also across restarts.
+    std::uint8_t weight = 1; ///< Share of common work that it can take, against other hosts.
+    bool isLeaving = false; ///< It stops by plan.
+    bool readsPlatform = false; ///< It reads the platform, and the platform answers.
+    bool canOwn = false; ///< It knows a configuration and backend servers.
 };
 
-/// Recent work of the sender's requests at the engines of a service.
-struct FleetDemand
+/// What a host tells some of its peers, some times a second and at once when it learned of a change.
+struct FleetNews
 {
-    ServiceId service;
-    EngineDemand demand;
+    FleetHost sender;
+    std::uint64_t revision = 0; ///< Up to which it knows the published state.
+    std::vector<FleetHost> hosts; ///< Some other hosts that run.
 };
 
-/// What a host tells its peers of itself, some times a second.
-struct FleetNews
+/// Asks for published items above a revision.
+struct PublishedRequest
 {
-    Address peers; ///< Where other hosts reach the sender.
-    std::uint64_t revision = 0; ///< Highest revision of the published state that it knows.
-    bool readsPlatform = false; ///< The platform answers it.
-    bool isLeaving = false; ///< It stops by plan.
-    std::vector<Address> hosts; ///< Some other hosts that it heard from lately.
-    std::vector<FleetLoad> loads;
-    std::vector<FleetDemand> demands;
+    std::uint64_t revision = 0;
 };
 
-/// Published items that the receiver seems not to know.
+/// Published items that the receiver asked for, the lowest revisions first.
 struct PublishedNews
 {
     std::vector<PublishedItem> items;
--- a/currantreel/src/Fleet/FleetSystem.cpp
+++ b/currantreel/src/Fleet/FleetSystem.cpp
@@ -1,6 +1,8 @@
 #include "FleetSystem.h"
 
 #include <algorithm>
+#include <cmath>
+#include <xxhash.h>
 
 namespace currantreel {
 
@@ -8,32 +10,49 @@
 
 using namespace std::chrono_literals;
 
-/// Bytes that a host may spend on news in a second.
-constexpr double bytesPerSecond = 3'000.0;
-/// Estimated size of news without lists, of a load and of an address, with framing.
-constexpr double newsBytes = 120.0;
-constexpr double loadBytes = 24.0;
-constexpr double addressBytes = 24.0;
-/// Most hosts that news goes to at once; more take turns.
-constexpr std::size_t mostRecipients = 12;
-constexpr std::size_t hostsPerNews = 4;
+/// Bytes that a host may spend on regular news in a second.
+constexpr double bytesPerSecond = 2'200.0;
+/// Estimated size of news without hosts and of a host, with framing.
+constexpr double newsBytes = 160.0;
+constexpr double hostBytes = 24.0;
+/// Hosts that regular news goes to at once; others take turns.
+constexpr std::size_t newsRecipients = 2;
+/// Hosts that are told of a change at once.
+constexpr std::size_t changeRecipients = 4;
+/// Other hosts that news names.
+constexpr std::size_t hostsPerNews = 16;
 constexpr Duration shortestInterval = 150ms;
-/// How often hosts that were not heard lately are tried.
+/// After its start a host tells news this many times as often for a while, to be known soon.
+constexpr double startFactor = 3.0;
+constexpr Duration startPeriod = 10s;
+/// Shortest time between two rounds of news of a change.
+constexpr Duration shortestChangeInterval = 50ms;
+/// How often hosts that were not heard lately are tried, and how many at once by a host that hears
+/// others and by one that hears nobody.
 constexpr Duration probeInterval = 1s;
-/// A host counts as present for this long after its last word.
-constexpr Duration presence = 2500ms;
-/// A host counts in shares of common bounds for this long after its last word.
+constexpr std::size_t probesAtOnce = 1;
+constexpr std::size_t probesAlone = 6;
+/// A host counts as present for this long after its heartbeat rose, and longer among many hosts, since
+/// word of each one comes as much less often.
+constexpr Duration shortestPresence = 3s;
+constexpr Duration presencePerHost = 125ms;
+/// A host counts in shares of common bounds for this long after its heartbeat rose.
 constexpr Duration countedFor = 60s;
 /// A host that was not heard and not named for this long is forgotten.
 constexpr Duration forgetAfter = 120s;
-/// Loads older than this count for nothing.
-constexpr Duration loadLifetime = 1500ms;
 /// Time in which a host that reads the platform itself learns of a change.
 constexpr Duration readingLag = 250ms;
-/// Time until published items are sent once more to a host that still is behind.
-constexpr Duration itemsInterval = 400ms;
+/// Time until published items are asked for once more, at another host.
+constexpr Duration fetchTimeout = 300ms;
 /// Most bytes of published items in one message.
 constexpr std::size_t mostItemBytes = 128UL * 1024;
+/// Hosts of a failure domain that read the platform while all is well.
+constexpr std::size_t readersPerDomain = 3;
+/// A host that hears nobody for this long reads the platform itself.
+constexpr Duration longestSilence = 2s;
+/// Time for which an owner that did not answer is passed over; it doubles each time.
+constexpr Duration shortestPassedOver = 1s;
+constexpr Duration longestPassedOver = 8s;
 
 std::vector<PublishedItem> firstItems(std::vector<PublishedItem> items)
 {
@@ -50,9 +69,22 @@
     return items;
 }
 
+/// Rank of @p host as the owner of a part of a service, so that hosts get parts by their weight.
+double ownerRank(HostId host, std::uint8_t weight, ServiceId service, std::size_t part)
+{
+    const std::uint64_t hash =
+        XXH3_64bits_withSeed(&host.value, sizeof(host.value), service.value + part);
+    constexpr double hashes = 18446744073709551616.0; // 2^64
+    const double drawn = (static_cast<double>(hash) + 1.0) / (hashes + 2.0);
+    return -static_cast<double>(weight) / std::log(drawn);
+}
+
 } // namespace
 
-FleetSystem::FleetSystem(const Address &self, std::uint64_t seed) : m_self(self), m_random(seed) { }
+FleetSystem::FleetSystem(const Address &self, std::uint64_t heartbeat, std::uint64_t seed)
+    : m_self(self), m_id(idOf(self)), m_heartbeat(heartbeat), m_random(seed)
+{
+}
 
 HostId FleetSystem::idOf(const Address &peers)
 {
@@ -72,158 +104,264 @@
     if (address == m_self)
         return;
     Host &host = m_hosts[idOf(address)];
-    host.address = address;
+    host.known.peers = address;
     host.namedAt = std::max(host.namedAt, now);
     host.isSeed = host.isSeed || isSeed;
 }
 
-void FleetSystem::receive(TimePoint now, HostId from, const FleetNews &news)
+void FleetSystem::beat(TimePoint now, Host &host, const FleetHost &news)
+{
+    host.known = news;
+    host.aliveAt = now;
+    host.isAlive = true;
+}
+
+void FleetSystem::take(TimePoint now, const FleetHost &news)
 {
-    if (idOf(news.peers) != from)
+    if (news.peers == m_self) {
+        // Others know a heartbeat of an earlier process that ran ahead of the time of day.
+        m_heartbeat = std::max(m_heartbeat, news.heartbeat);
         return;
+    }
     meet(now, news.peers, false);
-    for (const Address &other : news.hosts)
-        meet(now, other, false);
-    const auto found = m_hosts.find(from);
-    if (found == m_hosts.end())
+    Host &host = m_hosts[idOf(news.peers)];
+    if (news.heartbeat > host.known.heartbeat)
+        beat(now, host, news);
+}
+
+void FleetSystem::receive(TimePoint now, HostId from, const FleetNews &news)
+{
+    if (idOf(news.sender.peers) != from || from == m_id)
         return;
-    Host &host = found->second;
-    // A restarted host knows nothing of what it was sent.
-    if (news.revision < host.news.revision)
-        host.sentRevision = 0;
-    host.news = news;
-    host.heardAt = now;
-    host.isHeard = true;
+    meet(now, news.sender.peers, false);
+    Host &host = m_hosts[from];
+    FleetHost sender = news.sender;
+    sender.heartbeat = std::max(sender.heartbeat, host.known.heartbeat);
+    beat(now, host, sender);
+    if (news.revision != host.revision)
+        host.behindSince = TimePoint();
+    host.revision = news.revision;
+    host.passedOverFor = Duration::zero();
+    for (const FleetHost &other : news.hosts)
+        take(now, other);
+    m_newsAt = now;
+}
+
+void FleetSystem::receive(TimePoint /*now*/, HostId from, const PublishedRequest &request,
+                          const PublishedState &state)
+{
+    const Address address = addressOf(from);
+    std::vector<PublishedItem> items = firstItems(state.changesAfter(request.revision));
+    if (!items.empty() && !address.ip.empty())
+        m_outgoing.push_back(FleetOutgoing{ from, address, PublishedNews{ std::move(items) } });
+}
+
+void FleetSystem::onItems(HostId /*from*/)
+{
+    m_fetchUntil = TimePoint();
 }
 
 bool FleetSystem::isPresent(const Host &host, TimePoint now) const
 {
-    return host.isHeard && now - host.heardAt < presence;
+    const Duration presence = presencePerHost * static_cast<Duration::rep>(m_hosts.size());
+    return host.isAlive && now - host.aliveAt < std::max(shortestPresence, presence);
 }
 
-std::vector<HostId> FleetSystem::recipients(TimePoint now)
+bool FleetSystem::isPresent(TimePoint now, HostId host) const
+{
+    const auto found = m_hosts.find(host);
+    return found != m_hosts.end() && isPresent(found->second, now);
+}
+
+std::vector<HostId> FleetSystem::present(TimePoint now) const
 {
     std::vector<HostId> present;
-    std::vector<HostId> silent;
-    for (const auto &[id, host] : m_hosts)
-        (isPresent(host, now) ? present : silent).push_back(id);
-    std::shuffle(present.begin(), present.end(), m_random);
-    if (present.size() > mostRecipients)
-        present.resize(mostRecipients);
-    if (now >= m_nextProbeAt && !silent.empty()) {
-        m_nextProbeAt = now + probeInterval;
-        std::shuffle(silent.begin(), silent.end(), m_random);
-        const std::size_t probes = std::min<std::size_t>(silent.size(), mostRecipients / 2);
-        present.insert(present.end(), silent.begin(),
-                       silent.begin() + static_cast<std::ptrdiff_t>(probes));
+    for (const auto &[id, host] : m_hosts) {
+        if (isPresent(host, now))
+            present.push_back(id);
     }
+    std::shuffle(present.begin(), present.end(), m_random);
     return present;
 }
 
-FleetNews FleetSystem::newsOf(const FleetSelf &self, TimePoint now)
+std::vector<HostId> FleetSystem::recipients(TimePoint now)
 {
-    FleetNews news;
-    news.peers = m_self;
-    news.revision = self.revision;
-    news.readsPlatform = self.readsPlatform;
-    news.isLeaving = self.isLeaving;
-    news.loads = self.loads;
-    news.demands = self.demands;
-    std::vector<Address> known;
+    std::vector<HostId> to = present(now);
+    const std::size_t probes = to.empty() ? probesAlone : probesAtOnce;
+    to.resize(std::min(to.size(), newsRecipients));
+    if (now < m_nextProbeAt)
+        return to;
+    std::vector<HostId> silent;
     for (const auto &[id, host] : m_hosts) {
-        if (isPresent(host, now) && !host.news.isLeaving)
-            known.push_back(host.address);
+        if (!isPresent(host, now))
+            silent.push_back(id);
     }
-    std::shuffle(known.begin(), known.end(), m_random);
-    known.resize(std::min(known.size(), hostsPerNews));
-    news.hosts = std::move(known);
+    m_nextProbeAt = now + probeInterval;
+    std::shuffle(silent.begin(), silent.end(), m_random);
+    silent.resize(std::min(silent.size(), probes));
+    to.insert(to.end(), silent.begin(), silent.end());
+    return to;
+}
+
+FleetNews FleetSystem::newsOf(const PublishedState &state) const
+{
+    FleetNews news;
+    news.sender.peers = m_self;
+    news.sender.failureDomain = m_told.failureDomain;
+    news.sender.heartbeat = m_heartbeat;
+    news.sender.weight = m_told.weight;
+    news.sender.isLeaving = m_told.isLeaving;
+    news.sender.readsPlatform = m_told.readsPlatform;
+    news.sender.canOwn = m_told.canOwn;
+    news.revision = state.sharedRevision();
     return news;
 }
 
-bool FleetSystem::isBehind(const Host &host, TimePoint now, std::uint64_t revision) const
+void FleetSystem::addHosts(TimePoint now, FleetNews &news)
 {
-    if (!isPresent(host, now) || host.news.revision >= revision)
-        return false;
-    // A host that reads the platform itself is behind only if it still is some time after the change:
-    // its connection may have gone silent.
-    return !host.news.readsPlatform || host.heardAt >= m_revisionAt + readingLag;
+    // What rose last is news to most; some others are named for those that missed them.
+    std::vector<HostId> ids = present(now);
+    const std::size_t newest = std::min(ids.size(), hostsPerNews / 2);
+    std::partial_sort(ids.begin(), ids.begin() + static_cast<std::ptrdiff_t>(newest), ids.end(),
+                      [this](HostId left, HostId right) {
+                          return m_hosts[left].aliveAt > m_hosts[right].aliveAt;
+                      });
+    ids.resize(std::min(ids.size(), hostsPerNews));
+    for (const HostId id : ids)
+        news.hosts.push_back(m_hosts[id].known);
 }
 
-void FleetSystem::sendItems(TimePoint now, const PublishedState &state,
-                            std::vector<FleetOutgoing> &outgoing)
+void FleetSystem::send(HostId to, FleetNews message)
 {
-    if (state.revision() > m_revision) {
-        m_revision = state.revision();
-        m_revisionAt = now;
-    }
+    m_outgoing.push_back(FleetOutgoing{ to, m_hosts[to].known.peers, std::move(message) });
+}
+
+void FleetSystem::tellChange(TimePoint now, const PublishedState &state)
+{
+    const bool isNew = state.sharedRevision() > m_toldRevision;
+    if (!isNew || now - m_changeToldAt < shortestChangeInterval)
+        return;
+    m_toldRevision = state.sharedRevision();
+    m_changeToldAt = now;
+    ++m_heartbeat;
+    std::vector<HostId> to = present(now);
+    to.resize(std::min(to.size(), changeRecipients));
+    for (const HostId id : to)
+        send(id, newsOf(state));
+}
+
+void FleetSystem::fetch(TimePoint now, const PublishedState &state)
+{
+    if (now < m_fetchUntil)
+        return;
+    // A host that reads the platform itself is behind only if it still is some time after another one
+    // learned of a change: its connection may have gone silent.
+    const Duration lag = m_told.readsPlatform ? readingLag : Duration::zero();
+    std::vector<HostId> ahead;
     for (auto &[id, host] : m_hosts) {
-        const bool isDue =
-            host.sentRevision < state.revision() || now - host.sentItemsAt >= itemsInterval;
-        if (!isBehind(host, now, state.revision()) || !isDue)
+        if (!isPresent(host, now) || host.revision <= state.revision()) {
+            host.behindSince = TimePoint();
             continue;
-        std::vector<PublishedItem> items = firstItems(state.changesAfter(host.news.revision));
-        if (items.empty())
-            continue;
-        host.sentItemsAt = now;
-        host.sentRevision = state.revision();
-        outgoing.push_back(FleetOutgoing{ id, host.address, PublishedNews{ std::move(items) } });
+        }
+        if (host.behindSince == TimePoint())
+            host.behindSince = now;
+        if (now - host.behindSince >= lag)
+            ahead.push_back(id);
     }
+    if (ahead.empty())
+        return;
+    m_fetchUntil = now + fetchTimeout;
+    const HostId chosen = ahead[m_random() % ahead.size()];
+    m_outgoing.push_back(
+        FleetOutgoing{ chosen, m_hosts[chosen].known.peers, PublishedRequest{ state.revision() } });
 }
 
 std::vector<FleetOutgoing> FleetSystem::run(TimePoint now, const FleetSelf &self,
                                             const PublishedState &state)
 {
-    std::vector<FleetOutgoing> outgoing;
-    sendItems(now, state, outgoing);
+    m_told = self;
+    tellChange(now, state);
+    fetch(now, state);
     if (m_isStarted && now < m_nextNewsAt)
-        return outgoing;
-    m_isStarted = true;
-    const FleetNews news = newsOf(self, now);
+        return std::exchange(m_outgoing, {});
+    if (!std::exchange(m_isStarted, true))
+        m_startedAt = now;
+    ++m_heartbeat;
+    FleetNews news = newsOf(state);
+    addHosts(now, news);
     const std::vector<HostId> to = recipients(now);
     for (const HostId id : to)
-        outgoing.push_back(FleetOutgoing{ id, m_hosts[id].address, news });
-    const double bytes = newsBytes + loadBytes * static_cast<double>(news.loads.size())
-                         + addressBytes * static_cast<double>(news.hosts.size());
+        send(id, news);
+    const double factor = now - m_startedAt < startPeriod ? startFactor : 1.0;
+    const double bytes = newsBytes + hostBytes * static_cast<double>(news.hosts.size());
     const std::chrono::duration<double> interval(bytes * static_cast<double>(to.size())
-                                                 / bytesPerSecond);
+                                                 / (factor * bytesPerSecond));
     m_nextNewsAt = now + std::max(shortestInterval, std::chrono::duration_cast<Duration>(interval));
+    forget(now);
+    return std::exchange(m_outgoing, {});
+}
+
+void FleetSystem::forget(TimePoint now)
+{
     std::erase_if(m_hosts, [now](const auto &entry) {
         const Host &host = entry.second;
-        const TimePoint known = std::max(host.namedAt, host.heardAt);
+        const TimePoint known = std::max(host.namedAt, host.aliveAt);
         return !host.isSeed && now - known >= forgetAfter;
     });
-    return outgoing;
 }
 
-std::map<BackendServerId, ServerLoad> FleetSystem::othersLoads(TimePoint now) const
+bool FleetSystem::hasToRead(TimePoint now) const
 {
-    std::map<BackendServerId, ServerLoad> sums;
-    for (const auto &[id, host] : m_hosts) {
-        if (!host.isHeard || now - host.heardAt >= loadLifetime)
-            continue;
-        for (const FleetLoad &load : host.news.loads)
-            sums[load.server].add(load.load);
-    }
-    return sums;
+    if (now - m_newsAt >= longestSilence)
+        return true;
+    const auto isEarlierReader = [&](const auto &entry) {
+        const Host &host = entry.second;
+        return entry.first < m_id && isPresent(host, now) && host.known.readsPlatform
+               && !host.known.isLeaving && host.known.failureDomain == m_told.failureDomain;
+    };
+    const auto readers = std::count_if(m_hosts.begin(), m_hosts.end(), isEarlierReader);
+    return static_cast<std::size_t>(readers) < readersPerDomain;
 }
 
-std::map<ServiceId, EngineDemand> FleetSystem::othersDemands(TimePoint now) const
+HostId FleetSystem::ownerOf(TimePoint now, ServiceId service, std::size_t part) const
 {
-    std::map<ServiceId, EngineDemand> sums;
+    const bool canOwn = m_told.canOwn && !m_told.isLeaving;
+    HostId best;
+    double bestRank = canOwn ? ownerRank(m_id, m_told.weight, service, part) : 0.0;
     for (const auto &[id, host] : m_hosts) {
-        if (!isPresent(host, now))
+        if (!isPresent(host, now) || host.known.isLeaving || !host.known.canOwn)
+            continue;
+        const double rank = ownerRank(id, host.known.weight, service, part);
+        if (rank <= bestRank || now < host.passedOverUntil)
             continue;
-        for (const FleetDemand &demand : host.news.demands)
-            sums[demand.service].add(demand.demand);
+        best = id;
+        bestRank = rank;
     }
-    return sums;
+    return best;
+}
+
+void FleetSystem::passOver(TimePoint now, HostId host)
+{
+    const auto found = m_hosts.find(host);
+    if (found == m_hosts.end())
+        return;
+    Host &silent = found->second;
+    silent.passedOverFor =
+        std::clamp(silent.passedOverFor * 2, shortestPassedOver, longestPassedOver);
+    silent.passedOverUntil = now + silent.passedOverFor;
+}
+
+Address FleetSystem::addressOf(HostId host) const
+{
+    const auto found = m_hosts.find(host);
+    return found == m_hosts.end() ? Address{} : found->second.known.peers;
 }
 
 std::size_t FleetSystem::countedHosts(TimePoint now) const
 {
     const auto counts = [now](const auto &entry) {
         const Host &host = entry.second;
-        return !host.isHeard || now - host.heardAt < countedFor;
+        return !host.isAlive || now - host.aliveAt < countedFor;
     };
     return 1 + static_cast<std::size_t>(std::count_if(m_hosts.begin(), m_hosts.end(), counts));
 }
--- a/currantreel/src/Forward/EngineGroups.cpp
+++ b/currantreel/src/Forward/EngineGroups.cpp
@@ -63,32 +63,16 @@
     m_work[service].runSeconds.add(now, secondsOf(time));
 }
 
-EngineDemand EngineGroups::demandOf(ServiceId service, const Work &work, TimePoint now) const
-{
-    EngineDemand demand{ work.readTokens.value(now), work.runSeconds.value(now) };
-    const auto others = m_others.find(service);
-    if (others != m_others.end())
-        demand.add(others->second);
-    return demand;
-}
-
-std::map<ServiceId, EngineDemand> EngineGroups::demands(TimePoint now) const
-{
-    std::map<ServiceId, EngineDemand> demands;
-    for (const auto &[service, work] : m_work)
-        demands[service] = { work.readTokens.value(now), work.runSeconds.value(now) };
-    return demands;
-}
-
 std::size_t EngineGroups::longEngines(ServiceId service, TimePoint now, std::size_t engines,
                                       std::uint32_t slots)
 {
     Work &work = m_work[service];
-    const EngineDemand demand = demandOf(service, work, now);
-    if (engines < 2 || demand.readTokens <= 0.0 || demand.runSeconds <= 0.0)
+    const double readTokens = work.readTokens.value(now);
+    const double runSeconds = work.runSeconds.value(now);
+    if (engines < 2 || readTokens <= 0.0 || runSeconds <= 0.0)
         return 0;
-    const double reading = readingWeight * demand.readTokens / tokensPerSecond;
-    const double running = demand.runSeconds / std::max<double>(slots, 1.0);
+    const double reading = readingWeight * readTokens / tokensPerSecond;
+    const double running = runSeconds / std::max<double>(slots, 1.0);
     if (reading + running >= enoughWork) {
         const double share = std::clamp(reading / (reading + running), smallestShare, largestShare);
         if (std::abs(share - work.share) >= shareHysteresis)
--- a/currantreel/src/Forward/EngineGroups.h
+++ b/currantreel/src/Forward/EngineGroups.h
@@ -5,7 +5,6 @@
 #include "../Core/Time.h"
 #include <cstdint>
 #include <map>
-#include <utility>
 
 namespace currantreel {
 
@@ -21,22 +20,9 @@
     TimePoint m_at;
 };
 
-/// Recent work of requests at the engines of a service.
-struct EngineDemand
-{
-    double readTokens = 0.0; ///< Prompt tokens to read, of long prompts.
-    double runSeconds = 0.0; ///< Time that requests with short prompts ran.
-
-    void add(const EngineDemand &other)
-    {
-        readTokens += other.readTokens;
-        runSeconds += other.runSeconds;
-    }
-};
-
 /// Splits the engines of a service between requests with long prompts and the others, since reading a
 /// long prompt delays the events of all streams that run beside it. Each group gets engines by the
-/// share of the work that its requests are, summed over all hosts, so that hosts agree on the split.
+/// share of the work that its requests are, of all that this host sends or places as an owner.
 class EngineGroups
 {
 public:
@@ -55,12 +41,6 @@
     /// A stream of a request with a short prompt ran for @p time.
     void countRunning(ServiceId service, TimePoint now, Duration time);
 
-    /// Recent work of this host's requests.
-    [[nodiscard]] std::map<ServiceId, EngineDemand> demands(TimePoint now) const;
-
-    /// Takes over the work of all other hosts together.
-    void setOthers(std::map<ServiceId, EngineDemand> demands) { m_others = std::move(demands); }
-
     /// Number of engines for long prompts among @p engines with @p slots each; 0 if the service has
     /// requests of one kind only.
     [[nodiscard]] std::size_t longEngines(ServiceId service, TimePoint now, std::size_t engines,
@@ -76,11 +56,8 @@
 
     static constexpr double initialShare = 0.55;
 
-    [[nodiscard]] EngineDemand demandOf(ServiceId service, const Work &work, TimePoint now) const;
-
     std::map<RouteId, double> m_promptTokens; ///< Average of a route.
     std::map<ServiceId, Work> m_work;
-    std::map<ServiceId, EngineDemand> m_others;
 };
 
 } // namespace currantreel
--- a/currantreel/src/Forward/ForwardAttempts.cpp
+++ b/currantreel/src/Forward/ForwardAttempts.cpp
@@ -49,6 +49,8 @@
 
 void ForwardSystem::settleRead(Call &call)
 {
+    if (call.unread > 0)
+        tell(call, PlacementProgress::Read);
     if (ForwardServer *server = m_directory.find(call.server))
         server->own.unreadTokens -= std::min<std::uint64_t>(call.unread, server->own.unreadTokens);
     call.unread = 0;
@@ -56,6 +58,8 @@
 
 void ForwardSystem::settleLoad(Call &call)
 {
+    tell(call, call.progress);
+    call.owner = {};
     settleRead(call);
     ForwardServer *server = m_directory.find(call.server);
     if (!server)
@@ -138,13 +142,19 @@
     return true;
 }
 
-void ForwardSystem::judgeServer(TimePoint now, const Call &call, const AnswerStatus &answer)
+void ForwardSystem::judgeServer(TimePoint now, Call &call, const AnswerStatus &answer)
 {
+    const bool isMisdirected = answer.status == detail::statusMisdirected;
+    if (isMisdirected)
+        call.progress = PlacementProgress::Unreachable;
+    else if (!isNotRun(answer))
+        call.progress =
+            isFailure(answer) ? PlacementProgress::Failed : PlacementProgress::Succeeded;
     ForwardServer *server = m_directory.find(call.server);
     if (!server)
         return;
     m_directory.noteAnswer(*server);
-    if (answer.status == detail::statusMisdirected)
+    if (isMisdirected)
         server->health.unreachable(now);
     else if (isFailure(answer) && !isNotRun(answer))
         server->health.failed(now);
@@ -199,6 +209,7 @@
     if (!call)
         return;
     const bool wasWritten = failure != AttemptFailure::NotConnected;
+    call->progress = wasWritten ? PlacementProgress::Failed : PlacementProgress::Unreachable;
     if (ForwardServer *server = m_directory.find(call->server)) {
         if (wasWritten)
             server->health.failed(now);
@@ -250,7 +261,7 @@
     ended.status = answer.status;
     note(std::move(ended));
     m_effects.emplace_back(FinishForward{ call.id });
-    if (call.route->hasPrompt && !call.isLongPrompt)
+    if (call.route->hasPrompt && !call.isLongPrompt && !call.owner.isValid())
         m_groups.countRunning(call.service, now, now - call.sentAt);
     m_attempts.erase(call.attempt);
     settleLoad(call);
@@ -277,6 +288,10 @@
         giveUp(now, call, ResultCode::RequestTimedOut);
         return;
     }
+    if (call.state == State::Asked) {
+        checkAsk(now, call);
+        return;
+    }
     if (call.state == State::Waiting) {
         const bool hasServers = !m_directory.usable(call.service).empty();
         if (!hasServers && !call.hasBegun && now >= call.retryAt)
@@ -292,6 +307,7 @@
     if (!call.isWritten || !isSilent(now, call) || !mayRepeat(call, true))
         return;
     call.mayHaveRun = true;
+    call.progress = PlacementProgress::Failed;
     if (ForwardServer *server = m_directory.find(call.server))
         server->health.failed(now);
     if (!tryAgain(now, call, true)) {
@@ -305,6 +321,7 @@
 
 void ForwardSystem::run(TimePoint now)
 {
+    checkOwners(now);
     dispatchWaiting(now);
     std::vector<RequestId> ids;
     ids.reserve(m_calls.size());
@@ -314,6 +331,7 @@
         if (Call *call = m_calls.find(id))
             checkCall(now, *call);
     }
+    flushNotes();
 }
 
 } // namespace currantreel
--- a/currantreel/src/Forward/ForwardCounters.h
+++ b/currantreel/src/Forward/ForwardCounters.h
@@ -16,6 +16,9 @@
     std::uint64_t late = 0; ///< Of these, begun after the target.
     std::uint64_t callersLeft = 0;
     std::uint64_t attempts = 0;
+    std::uint64_t asked = 0; ///< Choices asked of owners.
+    std::uint64_t full = 0; ///< Of these, answered that no server has room.
+    std::uint64_t ownersSilent = 0; ///< Of these, not answered in time.
     std::uint64_t repeats = 0; ///< Attempts beyond the first of each request.
     std::uint64_t resumed = 0; ///< Streams that went on at another server.
     std::uint64_t broken = 0; ///< Replies that were cut off.
--- a/currantreel/src/Forward/ForwardMessages.h
+++ b/currantreel/src/Forward/ForwardMessages.h
@@ -6,6 +6,7 @@
 #include "../Core/ResultCode.h"
 #include "../Core/Time.h"
 #include "../Settings/Address.h"
+#include "PlacementMessages.h"
 #include "Prompt.h"
 #include <string>
 #include <variant>
@@ -89,6 +90,19 @@
     RequestId request;
 };
 
+/// Send a message about placing to the owner @p owner.
+struct TellOwner
+{
+    HostId owner;
+    std::variant<PlacementAsk, PlacementNotes, PlacementsHeld> message;
+};
+
+/// The owner did not answer in time: let others be asked for a while.
+struct PassOverOwner
+{
+    HostId owner;
+};
+
 /// What a decision was about.
 enum class DecisionKind : std::uint8_t { Chosen, Queued, Refused, Retried, Resumed, Ended, Broken };
 
@@ -104,15 +118,20 @@
     Outcome outcome = Outcome::Completed;
     int status = 0; ///< Of the backend server's answer; 0 if there is none.
     std::uint64_t version = 0; ///< Of the configuration that decided.
-    std::uint32_t load = 0; ///< Requests at the chosen server, this one excluded.
+    HostId owner; ///< Host that chose the server; invalid if it was this one.
+    std::uint32_t load =
+        0; ///< Requests at the chosen server that this host knows, without this one.
+    std::uint32_t promptTokens = 0;
+    std::uint32_t unread = 0; ///< Of the prompt, not in the chosen server's memory.
     std::uint32_t waiting = 0; ///< Requests in the queue.
     Duration age{}; ///< Since the request arrived.
     Duration firstEvent{}; ///< From arrival to the first event of a stream; zero if none came.
     Duration longestPause{}; ///< Between two arrivals of events of a stream.
 };
 
-using ForwardEffect = std::variant<StartForward, CancelForward, RelayForward, FinishForward,
-                                   RefuseForward, BreakForward, DecisionNote>;
+using ForwardEffect =
+    std::variant<StartForward, CancelForward, RelayForward, FinishForward, RefuseForward,
+                 BreakForward, TellOwner, PassOverOwner, DecisionNote>;
 
 } // namespace currantreel
 
--- a/currantreel/src/Forward/ForwardSystem.cpp
+++ b/currantreel/src/Forward/ForwardSystem.cpp
@@ -144,7 +144,7 @@
     m_queues[call.service].erase(positionOf(call));
 }
 
-PlacementRequest ForwardSystem::placementOf(TimePoint now, const Call &call)
+PlacementRequest ForwardSystem::placementOf(const Call &call) const
 {
     PlacementRequest request;
     request.service = call.service;
@@ -152,13 +152,11 @@
     request.isUrgent = call.route->priority == topTier;
     request.tried = call.tried;
     request.bytes = call.bytes + bytesPerAnswerToken * call.prompt.mostAnswerTokens;
-    if (!call.route->hasPrompt)
-        return request;
-    request.prompt = &call.prompt;
+    request.part = call.part;
+    request.parts = call.parts;
+    if (call.route->hasPrompt)
+        request.prompt = &call.prompt;
     request.isLongPrompt = call.isLongPrompt;
-    const std::vector<ForwardServer *> &servers = m_directory.usable(call.service);
-    const std::uint32_t slots = servers.empty() ? 0 : servers.front()->announced.slots;
-    request.longServers = m_groups.longEngines(call.service, now, servers.size(), slots);
     return request;
 }
 
@@ -173,7 +171,7 @@
                 continue;
             }
             // Strict order: what is less urgent does not pass a request that finds no room.
-            if (!dispatch(now, call))
+            if (isBlocked(now, call) || !dispatch(now, call))
                 break;
             next = queue.erase(next);
         }
@@ -182,32 +180,41 @@
 
 bool ForwardSystem::dispatch(TimePoint now, Call &call)
 {
-    ForwardServer *server = chooseServer(m_directory, placementOf(now, call), now);
+    if (const HostId owner = ownerOf(now, call); owner.isValid()) {
+        ask(now, call, owner);
+        return true;
+    }
+    ForwardServer *server = chooseServer(m_directory, m_groups, placementOf(call), now);
     if (!server)
         return false;
-    send(now, call, *server);
+    const std::uint32_t kept = server->cache.keptTokens(call.prompt);
+    call.unread = call.prompt.tokens > kept ? call.prompt.tokens - kept : 0;
+    if (call.isLongPrompt)
+        m_groups.countReading(call.service, now, call.unread);
+    send(now, call, *server, drawAttempt());
     return true;
 }
 
-void ForwardSystem::send(TimePoint now, Call &call, ForwardServer &server)
+void ForwardSystem::send(TimePoint now, Call &call, ForwardServer &server, AttemptId attempt)
 {
     DecisionNote choice = noteOf(now, call, DecisionKind::Chosen);
     choice.instance = server.announced.instance;
     choice.load = server.load().requests;
+    choice.owner = call.owner;
+    choice.promptTokens = call.prompt.tokens;
+    choice.unread = call.unread;
     note(std::move(choice));
     ++m_counters.attempts;
     call.state = State::Sent;
-    call.attempt = AttemptId{ m_nextAttempt++ };
+    call.attempt = attempt;
+    call.decidesHere = false;
+    call.progress = PlacementProgress::Ended;
     call.server = server.id;
     call.sentAt = now;
     call.progressAt = now;
     call.isWritten = false;
     call.tried.push_back(server.id);
-    const std::uint32_t kept = server.cache.keptTokens(call.prompt);
-    call.unread = call.prompt.tokens > kept ? call.prompt.tokens - kept : 0;
     server.cache.remember(call.prompt);
-    if (call.isLongPrompt)
-        m_groups.countReading(call.service, now, call.unread);
     server.own.requests += 1;
     server.own.unreadTokens += call.unread;
     server.own.heldTokens += call.prompt.tokens + call.prompt.mostAnswerTokens;
@@ -246,6 +253,8 @@
     const Call *call = m_calls.find(request);
     if (call && call->state == State::Waiting)
         dequeue(*call);
+    if (call && call->asked.isValid())
+        m_asks.erase(call->asked);
     m_calls.remove(request);
 }
 
--- a/currantreel/src/Forward/ForwardSystem.h
+++ b/currantreel/src/Forward/ForwardSystem.h
@@ -9,6 +9,7 @@
 #include "RouteTable.h"
 #include "ServerDirectory.h"
 #include "ServerPlacement.h"
+#include <functional>
 #include <random>
 #include <set>
 #include <unordered_map>
@@ -32,12 +33,21 @@
 ///
 /// Pure: time comes as an argument and what is to be done goes out as effects. Answers for the queue,
 /// the refusals and the choice of servers under any load.
+///
+/// Servers of model engines are chosen by their owner, which sees the requests of all hosts; this host
+/// chooses itself where it is the owner, and where the owner does not answer in time.
 class ForwardSystem
 {
 public:
+    /// Tells the owner of a part of a service's servers; invalid if it is this host.
+    using OwnerLookup = std::function<HostId(TimePoint now, ServiceId service, std::size_t part)>;
+
     /// @param failureDomain of this host. @param seed of random draws.
     ForwardSystem(FailureDomainId failureDomain, std::uint64_t seed);
 
+    /// Without a lookup this host chooses all servers itself.
+    void setOwnerLookup(OwnerLookup ownerOf) { m_ownerOf = std::move(ownerOf); }
+
     void onArrived(TimePoint now, const CallArrived &event);
     /// The caller closed its connection.
     void onCallerLeft(TimePoint now, RequestId request);
@@ -48,6 +58,8 @@
     /// The answer arrived whole.
     void onAnswer(TimePoint now, AttemptId attempt, const AnswerStatus &answer);
     void onFailed(TimePoint now, AttemptId attempt, AttemptFailure failure);
+    /// The owner @p from chose a server.
+    void onGrant(TimePoint now, HostId from, const PlacementGrant &grant);
 
     /// Servers changed, or other hosts told of their work.
     void onServersChanged(TimePoint now) { dispatchWaiting(now); }
@@ -71,7 +83,7 @@
     [[nodiscard]] std::size_t waiting() const;
 
 private:
-    enum class State : std::uint8_t { Waiting, Sent, Relayed };
+    enum class State : std::uint8_t { Waiting, Asked, Sent, Relayed };
 
     struct Call
     {
@@ -85,6 +97,14 @@
         Prompt prompt;
         std::size_t bytes = 0; ///< Of the request.
         bool isLongPrompt = false;
+        std::size_t part = 0; ///< Of the service's servers, of `parts`.
+        std::size_t parts = 1;
+        AttemptId asked; ///< Of the ask on its way; invalid if there is none.
+        HostId askedOf;
+        TimePoint askedAt;
+        bool decidesHere = false; ///< The owner did not answer: the next choice is made here.
+        HostId owner; ///< Holds the lease of the present attempt; invalid if nobody does.
+        PlacementProgress progress = PlacementProgress::Ended; ///< Told when the attempt ends.
         State state = State::Waiting;
         TimePoint arrivedAt;
         TimePoint targetAt;
@@ -113,17 +133,28 @@
     void enqueue(Call &call);
     void dequeue(const Call &call);
     [[nodiscard]] QueuePosition positionOf(const Call &call) const;
-    [[nodiscard]] PlacementRequest placementOf(TimePoint now, const Call &call);
+    [[nodiscard]] PlacementRequest placementOf(const Call &call) const;
     void dispatchWaiting(TimePoint now);
     [[nodiscard]] bool dispatch(TimePoint now, Call &call);
-    void send(TimePoint now, Call &call, ForwardServer &server);
+    [[nodiscard]] HostId ownerOf(TimePoint now, Call &call);
+    void ask(TimePoint now, Call &call, HostId owner);
+    void stopAsking(Call &call);
+    void sendTo(TimePoint now, Call &call, HostId owner, const PlacementGrant &grant);
+    void checkAsk(TimePoint now, Call &call);
+    [[nodiscard]] bool isBlocked(TimePoint now, const Call &call) const;
+    void tell(const Call &call, PlacementProgress progress);
+    void checkOwners(TimePoint now);
+    void tellHeld(TimePoint now, HostId owner, ServiceId service, std::size_t part);
+    void flushNotes();
+    void send(TimePoint now, Call &call, ForwardServer &server, AttemptId attempt);
+    [[nodiscard]] AttemptId drawAttempt() { return AttemptId{ m_nextAttempt++ }; }
     void settleLoad(Call &call);
     void settleRead(Call &call);
     void dropAttempt(Call &call);
     [[nodiscard]] bool mayRepeat(const Call &call, bool hasRun) const;
     [[nodiscard]] bool hasUntriedServer(const Call &call);
     [[nodiscard]] bool tryAgain(TimePoint now, Call &call, bool hasRun);
-    void judgeServer(TimePoint now, const Call &call, const AnswerStatus &answer);
+    void judgeServer(TimePoint now, Call &call, const AnswerStatus &answer);
     void passOn(TimePoint now, Call &call, const AnswerStatus &answer);
     void giveUp(TimePoint now, Call &call, ResultCode code);
     void finish(TimePoint now, Call &call, const AnswerStatus &answer);
@@ -133,8 +164,23 @@
     [[nodiscard]] DecisionNote noteOf(TimePoint now, const Call &call, DecisionKind kind) const;
     void note(DecisionNote note);
 
+    /// Part of a service's servers.
+    using Part = std::pair<ServiceId, std::size_t>;
+    /// Requests of a rank and below that find no room for a while.
+    struct Full
+    {
+        std::uint32_t rank = 0;
+        TimePoint until;
+    };
+
     FailureDomainId m_failureDomain;
     std::mt19937_64 m_random;
+    OwnerLookup m_ownerOf;
+    std::map<Part, HostId> m_owners; ///< As last looked up.
+    std::map<HostId, Incarnation> m_ownerIncarnations;
+    std::map<Part, Full> m_full;
+    std::map<HostId, PlacementNotes> m_notes; ///< To be told with the next tick.
+    std::unordered_map<AttemptId, RequestId> m_asks;
     RouteTable m_routes;
     ServerDirectory m_directory;
     RetryAllowance m_retries;
--- a/currantreel/src/Forward/ForwardTiming.h
+++ b/currantreel/src/Forward/ForwardTiming.h
@@ -8,6 +8,12 @@
 
 using namespace std::chrono_literals;
 
+/// Longest wait for an owner's choice before this host chooses itself.
+inline constexpr Duration askTimeout = 80ms;
+/// Time until an owner whose servers are full is asked again.
+inline constexpr Duration askAgainDelay = 20ms;
+/// Most servers that an ask names to avoid.
+inline constexpr std::size_t mostAvoided = 16;
 /// Longest wait for a connection to a backend server before another server is tried.
 inline constexpr Duration forwardConnect = 150ms;
 /// Silence of a backend server after which a request that may be repeated goes to another one, as a
--- a/currantreel/src/Forward/PublishedReader.h
+++ b/currantreel/src/Forward/PublishedReader.h
@@ -48,6 +48,11 @@
 {
     Duration watch = std::chrono::seconds(2); ///< Longest wait of one watch.
     Duration silence = std::chrono::milliseconds(400); ///< Beyond it, until a call is given up.
+    /// Between two watches that bring changes, so that changes in a row come with one call.
+    Duration spacing = std::chrono::milliseconds(150);
+    /// The same for a while after the start, when many hosts read that will leave it to others.
+    Duration startSpacing = std::chrono::milliseconds(600);
+    Duration startPeriod = std::chrono::seconds(6);
     Duration shortestBackoff = std::chrono::milliseconds(100);
     Duration longestBackoff = std::chrono::milliseconds(800);
     /// After an outage, entries that are missing are kept for this long: most writers renew theirs in
@@ -75,6 +80,7 @@
     void start(TimePoint now)
     {
         m_failingSince = now;
+        m_startedAt = now;
         beginListing();
     }
 
@@ -103,7 +109,12 @@
         answered(now);
         m_watched = std::max(m_watched, changes.revision);
         std::vector<PublishedItem> news = m_state->apply(now, changes.items);
-        beginWatch();
+        if (changes.items.empty())
+            beginWatch();
+        else
+            m_retryAt = now
+                        + (now - m_startedAt < m_timing.startPeriod ? m_timing.startSpacing
+                                                                    : m_timing.spacing);
         return news;
     }
 
@@ -133,6 +144,21 @@
             beginListing();
     }
 
+    /// Whether changes are watched. While they are not, other hosts tell them; a watch that waits is
+    /// still answered.
+    void setWatching(TimePoint now, bool isWatching)
+    {
+        m_isWatching = isWatching;
+        if (!isWatching || !m_isIdle)
+            return;
+        m_isIdle = false;
+        m_watched = std::max(m_watched, m_state->revision());
+        m_retryAt = now;
+    }
+
+    [[nodiscard]] bool isWatching() const { return m_isWatching; }
+    /// True while changes are watched or everything is read.
+    [[nodiscard]] bool isReading() const { return !m_isIdle; }
     /// True once everything was read.
     [[nodiscard]] bool isComplete() const { return m_isComplete; }
     /// True while calls fail.
@@ -154,7 +180,12 @@
         m_source->list("", m_timing.silence);
     }
 
-    void beginWatch() { m_source->watch(m_watched, m_timing.watch, m_timing.silence); }
+    void beginWatch()
+    {
+        m_isIdle = !m_isWatching;
+        if (!m_isIdle)
+            m_source->watch(m_watched, m_timing.watch, m_timing.silence);
+    }
 
     Source *m_source;
     PublishedState *m_state;
@@ -163,7 +194,10 @@
     std::uint64_t m_listRevision = 0;
     std::uint64_t m_watched = 0;
     bool m_isComplete = false;
+    bool m_isWatching = true;
+    bool m_isIdle = false; ///< Nothing is asked, since changes are not watched.
     TimePoint m_failingSince; ///< First failed call of the present row.
+    TimePoint m_startedAt;
     Duration m_backoff{};
     std::optional<TimePoint> m_retryAt;
 };
--- a/currantreel/src/Forward/PublishedState.cpp
+++ b/currantreel/src/Forward/PublishedState.cpp
@@ -64,11 +64,20 @@
     return news;
 }
 
+std::uint64_t PublishedState::sharedRevision() const
+{
+    std::uint64_t shared = m_revision;
+    for (const auto &[key, removal] : m_held)
+        shared = std::min(shared, removal.revision - 1);
+    return shared;
+}
+
 std::vector<PublishedItem> PublishedState::changesAfter(std::uint64_t revision) const
 {
     std::vector<PublishedItem> changes;
+    const std::uint64_t last = sharedRevision();
     for (const auto &[key, item] : m_items) {
-        if (item.revision > revision)
+        if (item.revision > revision && item.revision <= last)
             changes.push_back(item);
     }
     return changes;
--- a/currantreel/src/Forward/PublishedState.h
+++ b/currantreel/src/Forward/PublishedState.h
@@ -44,7 +44,11 @@
     /// Highest revision that was seen.
     [[nodiscard]] std::uint64_t revision() const { return m_revision; }
 
-    /// Everything known with a revision above @p revision, removals included.
+    /// Up to which everything known is told to other hosts: below removals that wait, which they may
+    /// hear of only once they count here.
+    [[nodiscard]] std::uint64_t sharedRevision() const;
+
+    /// Everything known with a revision above @p revision and up to the shared one, removals included.
     [[nodiscard]] std::vector<PublishedItem> changesAfter(std::uint64_t revision) const;
 
     [[nodiscard]] std::size_t size() const { return m_items.size(); }
--- a/currantreel/src/Forward/ServerDirectory.cpp
+++ b/currantreel/src/Forward/ServerDirectory.cpp
@@ -1,6 +1,7 @@
 #include "ServerDirectory.h"
 
 #include <algorithm>
+#include <xxhash.h>
 
 namespace currantreel {
 
@@ -11,6 +12,8 @@
 constexpr double engineQueueShare = 0.5;
 /// The same for a plain service, whose queue is short.
 constexpr double serviceQueueShare = 1.0;
+/// Servers of one service that one owner places requests at.
+constexpr std::size_t serversPerPart = 96;
 
 } // namespace
 
@@ -115,12 +118,23 @@
     return found != m_domains.end() && found->second.isAvoided(now);
 }
 
-void ServerDirectory::setOthers(const std::map<BackendServerId, ServerLoad> &loads)
+std::size_t ServerDirectory::parts(ServiceId service)
 {
-    for (ForwardServer &server : m_servers) {
-        const auto found = loads.find(server.id);
-        server.others = found == loads.end() ? ServerLoad{} : found->second;
+    return (usable(service).size() + serversPerPart - 1) / serversPerPart;
+}
+
+std::vector<ForwardServer *> ServerDirectory::part(ServiceId service, std::size_t part,
+                                                   std::size_t parts)
+{
+    const std::vector<ForwardServer *> &all = usable(service);
+    if (parts <= 1)
+        return all;
+    std::vector<ForwardServer *> chosen;
+    for (ForwardServer *server : all) {
+        if (XXH3_64bits(&server->id.value, sizeof(server->id.value)) % parts == part)
+            chosen.push_back(server);
     }
+    return chosen;
 }
 
 } // namespace currantreel
--- a/currantreel/src/Forward/ServerDirectory.h
+++ b/currantreel/src/Forward/ServerDirectory.h
@@ -34,7 +34,7 @@
     ServerAnnouncement announced;
     TimePoint coldUntil;
     ServerLoad own; ///< Requests of this host.
-    ServerLoad others; ///< Requests of other hosts, as they last told.
+    ServerLoad others; ///< Requests of other hosts that this host placed as their owner.
     PromptCache cache;
     ServerHealth health;
     std::uint64_t memoryTokens = 0; ///< 0: no engine.
@@ -68,8 +68,12 @@
     /// which failure domains take turns. Valid until the next change of the directory.
     [[nodiscard]] const std::vector<ForwardServer *> &usable(ServiceId service);
 
-    /// Takes over the work of all other hosts together.
-    void setOthers(const std::map<BackendServerId, ServerLoad> &loads);
+    /// Parts into which the servers of @p service are divided among owners.
+    [[nodiscard]] std::size_t parts(ServiceId service);
+
+    /// Usable servers of @p service in part @p part of @p parts, in the order of usable().
+    [[nodiscard]] std::vector<ForwardServer *> part(ServiceId service, std::size_t part,
+                                                    std::size_t parts);
 
     /// Notes that @p server could not be connected to.
     void noteUnreachable(ForwardServer &server, TimePoint now);
--- a/currantreel/src/Forward/ServerPlacement.cpp
+++ b/currantreel/src/Forward/ServerPlacement.cpp
@@ -40,12 +40,17 @@
 
 /// Servers of the group that the request belongs to.
 std::span<ForwardServer *const> groupOf(const std::vector<ForwardServer *> &servers,
-                                        const PlacementRequest &request)
+                                        EngineGroups &groups, const PlacementRequest &request,
+                                        TimePoint now)
 {
     const std::span<ForwardServer *const> all(servers);
-    if (request.longServers == 0 || request.longServers >= all.size())
+    if (!request.prompt || servers.empty())
         return all;
-    return request.isLongPrompt ? all.first(request.longServers) : all.subspan(request.longServers);
+    const std::uint32_t slots = servers.front()->announced.slots;
+    const std::size_t longServers = groups.longEngines(request.service, now, servers.size(), slots);
+    if (longServers == 0 || longServers >= all.size())
+        return all;
+    return request.isLongPrompt ? all.first(longServers) : all.subspan(longServers);
 }
 
 const ForwardServer *preferredServer(std::span<ForwardServer *const> group,
@@ -128,23 +133,26 @@
 
 } // namespace
 
-ForwardServer *chooseServer(ServerDirectory &directory, const PlacementRequest &request,
-                            TimePoint now)
+ForwardServer *chooseServer(ServerDirectory &directory, EngineGroups &groups,
+                            const PlacementRequest &request, TimePoint now)
 {
-    const std::vector<ForwardServer *> &servers = directory.usable(request.service);
-    const auto group = groupOf(servers, request);
+    const std::vector<ForwardServer *> servers =
+        directory.part(request.service, request.part, request.parts);
+    const auto group = groupOf(servers, groups, request, now);
     const Choice choice{ &request, preferredServer(group, request), now };
     ForwardServer *best = nullptr;
     double bestCost = 0.0;
     int bestRank = 0;
-    for (ForwardServer *server : servers) {
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+        ForwardServer *server = servers[i];
         if (!hasRoom(*server, request))
             continue;
         const bool isTried = std::find(request.tried.begin(), request.tried.end(), server->id)
                              != request.tried.end();
         // Servers that failed this request come last, avoided ones before them.
         const int rank = isTried ? 2 : (directory.isAvoided(*server, now) ? 1 : 0);
-        const bool isInGroup = std::find(group.begin(), group.end(), server) != group.end();
+        const auto groupBegin = static_cast<std::size_t>(group.data() - servers.data());
+        const bool isInGroup = i >= groupBegin && i < groupBegin + group.size();
         const double cost = costOf(*server, isInGroup, choice);
         if (!best || rank < bestRank || (rank == bestRank && cost < bestCost)) {
             best = server;
--- a/currantreel/src/Forward/ServerPlacement.h
+++ b/currantreel/src/Forward/ServerPlacement.h
@@ -1,6 +1,7 @@
 #ifndef CURRANTREEL_FORWARD_SERVERPLACEMENT_H
 #define CURRANTREEL_FORWARD_SERVERPLACEMENT_H
 
+#include "EngineGroups.h"
 #include "ServerDirectory.h"
 #include <span>
 
@@ -10,12 +11,12 @@
 struct PlacementRequest
 {
     ServiceId service;
+    std::size_t part = 0; ///< Of the servers of the service, see ServerDirectory::part().
+    std::size_t parts = 1;
     const Prompt *prompt = nullptr; ///< Null for requests to plain services.
     FailureDomainId failureDomain; ///< Of this host.
     std::size_t bytes = 0; ///< Of the request and of its expected answer.
     bool isLongPrompt = false;
-    /// Servers at the start of the directory's order that are for long prompts; 0: no such split.
-    std::size_t longServers = 0;
     bool isUrgent = false; ///< Of the top tier: may use places that lower tiers leave free.
     std::span<const BackendServerId> tried; ///< Servers that failed the request.
 };
@@ -27,7 +28,7 @@
 /// Requests about the same subject prefer the same server of their failure domain, on every host and
 /// without a word between hosts, by rendezvous hashing.
 /// @return the server, or nullptr if none has room.
-[[nodiscard]] ForwardServer *chooseServer(ServerDirectory &directory,
+[[nodiscard]] ForwardServer *chooseServer(ServerDirectory &directory, EngineGroups &groups,
                                           const PlacementRequest &request, TimePoint now);
 
 } // namespace currantreel
--- a/currantreel/src/Peer/Generated/PeerMessage_generated.h
+++ b/currantreel/src/Peer/Generated/PeerMessage_generated.h
@@ -103,13 +103,32 @@
 struct LeavingServers;
 struct LeavingServersBuilder;
 
-struct FleetLoad;
-
-struct FleetDemand;
+struct FleetHost;
 
 struct FleetNews;
 struct FleetNewsBuilder;
 
+struct PromptPart;
+
+struct PlacementAsk;
+struct PlacementAskBuilder;
+
+struct PlacementGrant;
+struct PlacementGrantBuilder;
+
+struct PlacementNote;
+
+struct PlacementNotes;
+struct PlacementNotesBuilder;
+
+struct HeldPlacement;
+
+struct PlacementsHeld;
+struct PlacementsHeldBuilder;
+
+struct PublishedRequest;
+struct PublishedRequestBuilder;
+
 struct PublishedItem;
 struct PublishedItemBuilder;
 
@@ -145,11 +164,16 @@
   GrantMoved = 22,
   FleetNews = 23,
   PublishedNews = 24,
+  PublishedRequest = 25,
+  PlacementAsk = 26,
+  PlacementGrant = 27,
+  PlacementNotes = 28,
+  PlacementsHeld = 29,
   MIN = NONE,
-  MAX = PublishedNews
+  MAX = PlacementsHeld
 };
 
-inline const Body (&EnumValuesBody())[25] {
+inline const Body (&EnumValuesBody())[30] {
   static const Body values[] = {
     Body::NONE,
     Body::Greeting,
@@ -175,13 +199,18 @@
     Body::NewsPush,
     Body::GrantMoved,
     Body::FleetNews,
-    Body::PublishedNews
+    Body::PublishedNews,
+    Body::PublishedRequest,
+    Body::PlacementAsk,
+    Body::PlacementGrant,
+    Body::PlacementNotes,
+    Body::PlacementsHeld
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[26] = {
+  static const char * const names[31] = {
     "NONE",
     "Greeting",
     "Proof",
@@ -207,13 +236,18 @@
     "GrantMoved",
     "FleetNews",
     "PublishedNews",
+    "PublishedRequest",
+    "PlacementAsk",
+    "PlacementGrant",
+    "PlacementNotes",
+    "PlacementsHeld",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::PublishedNews)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::PlacementsHeld)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -318,6 +352,26 @@
   static const Body enum_value = Body::PublishedNews;
 };
 
+template<> struct BodyTraits<currantreel::wire::PublishedRequest> {
+  static const Body enum_value = Body::PublishedRequest;
+};
+
+template<> struct BodyTraits<currantreel::wire::PlacementAsk> {
+  static const Body enum_value = Body::PlacementAsk;
+};
+
+template<> struct BodyTraits<currantreel::wire::PlacementGrant> {
+  static const Body enum_value = Body::PlacementGrant;
+};
+
+template<> struct BodyTraits<currantreel::wire::PlacementNotes> {
+  static const Body enum_value = Body::PlacementNotes;
+};
+
+template<> struct BodyTraits<currantreel::wire::PlacementsHeld> {
+  static const Body enum_value = Body::PlacementsHeld;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -569,83 +623,211 @@
   using type = DomainLoad;
 };
 
-FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) FleetLoad FLATBUFFERS_FINAL_CLASS {
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) FleetHost FLATBUFFERS_FINAL_CLASS {
  private:
-  uint64_t server_;
-  uint32_t requests_;
-  uint32_t unread_tokens_;
-  uint32_t held_tokens_;
+  uint64_t failure_domain_;
+  uint64_t heartbeat_;
+  uint8_t ip_[4];
+  uint16_t port_;
+  uint8_t weight_;
+  uint8_t is_leaving_;
+  uint8_t reads_platform_;
+  uint8_t can_own_;
+  int16_t padding0__;  int32_t padding1__;
+
+ public:
+  struct Traits;
+  FleetHost()
+      : failure_domain_(0),
+        heartbeat_(0),
+        ip_(),
+        port_(0),
+        weight_(0),
+        is_leaving_(0),
+        reads_platform_(0),
+        can_own_(0),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  FleetHost(uint64_t _failure_domain, uint64_t _heartbeat, uint16_t _port, uint8_t _weight, bool _is_leaving, bool _reads_platform, bool _can_own)
+      : failure_domain_(flatbuffers::EndianScalar(_failure_domain)),
+        heartbeat_(flatbuffers::EndianScalar(_heartbeat)),
+        ip_(),
+        port_(flatbuffers::EndianScalar(_port)),
+        weight_(flatbuffers::EndianScalar(_weight)),
+        is_leaving_(flatbuffers::EndianScalar(static_cast<uint8_t>(_is_leaving))),
+        reads_platform_(flatbuffers::EndianScalar(static_cast<uint8_t>(_reads_platform))),
+        can_own_(flatbuffers::EndianScalar(static_cast<uint8_t>(_can_own))),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  FleetHost(uint64_t _failure_domain, uint64_t _heartbeat, flatbuffers::span<const uint8_t, 4> _ip, uint16_t _port, uint8_t _weight, bool _is_leaving, bool _reads_platform, bool _can_own)
+      : failure_domain_(flatbuffers::EndianScalar(_failure_domain)),
+        heartbeat_(flatbuffers::EndianScalar(_heartbeat)),
+        port_(flatbuffers::EndianScalar(_port)),
+        weight_(flatbuffers::EndianScalar(_weight)),
+        is_leaving_(flatbuffers::EndianScalar(static_cast<uint8_t>(_is_leaving))),
+        reads_platform_(flatbuffers::EndianScalar(static_cast<uint8_t>(_reads_platform))),
+        can_own_(flatbuffers::EndianScalar(static_cast<uint8_t>(_can_own))),
+        padding0__(0),
+        padding1__(0) {
+    flatbuffers::CastToArray(ip_).CopyFromSpan(_ip);
+    (void)padding0__;
+    (void)padding1__;
+  }
+  uint64_t failure_domain() const {
+    return flatbuffers::EndianScalar(failure_domain_);
+  }
+  uint64_t heartbeat() const {
+    return flatbuffers::EndianScalar(heartbeat_);
+  }
+  const flatbuffers::Array<uint8_t, 4> *ip() const {
+    return &flatbuffers::CastToArray(ip_);
+  }
+  uint16_t port() const {
+    return flatbuffers::EndianScalar(port_);
+  }
+  uint8_t weight() const {
+    return flatbuffers::EndianScalar(weight_);
+  }
+  bool is_leaving() const {
+    return flatbuffers::EndianScalar(is_leaving_) != 0;
+  }
+  bool reads_platform() const {
+    return flatbuffers::EndianScalar(reads_platform_) != 0;
+  }
+  bool can_own() const {
+    return flatbuffers::EndianScalar(can_own_) != 0;
+  }
+};
+FLATBUFFERS_STRUCT_END(FleetHost, 32);
+
+struct FleetHost::Traits {
+  using type = FleetHost;
+};
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PromptPart FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t id_;
+  uint32_t tokens_;
   int32_t padding0__;
 
  public:
   struct Traits;
-  FleetLoad()
-      : server_(0),
-        requests_(0),
-        unread_tokens_(0),
-        held_tokens_(0),
+  PromptPart()
+      : id_(0),
+        tokens_(0),
         padding0__(0) {
     (void)padding0__;
   }
-  FleetLoad(uint64_t _server, uint32_t _requests, uint32_t _unread_tokens, uint32_t _held_tokens)
-      : server_(flatbuffers::EndianScalar(_server)),
-        requests_(flatbuffers::EndianScalar(_requests)),
-        unread_tokens_(flatbuffers::EndianScalar(_unread_tokens)),
-        held_tokens_(flatbuffers::EndianScalar(_held_tokens)),
+  PromptPart(uint64_t _id, uint32_t _tokens)
+      : id_(flatbuffers::EndianScalar(_id)),
+        tokens_(flatbuffers::EndianScalar(_tokens)),
         padding0__(0) {
     (void)padding0__;
   }
-  uint64_t server() const {
-    return flatbuffers::EndianScalar(server_);
+  uint64_t id() const {
+    return flatbuffers::EndianScalar(id_);
+  }
+  uint32_t tokens() const {
+    return flatbuffers::EndianScalar(tokens_);
+  }
+};
+FLATBUFFERS_STRUCT_END(PromptPart, 16);
+
+struct PromptPart::Traits {
+  using type = PromptPart;
+};
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PlacementNote FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t attempt_;
+  uint8_t progress_;
+  int8_t padding0__;  int16_t padding1__;  int32_t padding2__;
+
+ public:
+  struct Traits;
+  PlacementNote()
+      : attempt_(0),
+        progress_(0),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
   }
-  uint32_t requests() const {
-    return flatbuffers::EndianScalar(requests_);
+  PlacementNote(uint64_t _attempt, uint8_t _progress)
+      : attempt_(flatbuffers::EndianScalar(_attempt)),
+        progress_(flatbuffers::EndianScalar(_progress)),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
   }
-  uint32_t unread_tokens() const {
-    return flatbuffers::EndianScalar(unread_tokens_);
+  uint64_t attempt() const {
+    return flatbuffers::EndianScalar(attempt_);
   }
-  uint32_t held_tokens() const {
-    return flatbuffers::EndianScalar(held_tokens_);
+  uint8_t progress() const {
+    return flatbuffers::EndianScalar(progress_);
   }
 };
-FLATBUFFERS_STRUCT_END(FleetLoad, 24);
+FLATBUFFERS_STRUCT_END(PlacementNote, 16);
 
-struct FleetLoad::Traits {
-  using type = FleetLoad;
+struct PlacementNote::Traits {
+  using type = PlacementNote;
 };
 
-FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) FleetDemand FLATBUFFERS_FINAL_CLASS {
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) HeldPlacement FLATBUFFERS_FINAL_CLASS {
  private:
-  uint64_t service_;
-  double read_tokens_;
-  double run_seconds_;
+  uint64_t attempt_;
+  uint64_t server_;
+  int64_t time_left_us_;
+  uint32_t unread_;
+  uint32_t held_;
 
  public:
   struct Traits;
-  FleetDemand()
-      : service_(0),
-        read_tokens_(0),
-        run_seconds_(0) {
+  HeldPlacement()
+      : attempt_(0),
+        server_(0),
+        time_left_us_(0),
+        unread_(0),
+        held_(0) {
   }
-  FleetDemand(uint64_t _service, double _read_tokens, double _run_seconds)
-      : service_(flatbuffers::EndianScalar(_service)),
-        read_tokens_(flatbuffers::EndianScalar(_read_tokens)),
-        run_seconds_(flatbuffers::EndianScalar(_run_seconds)) {
+  HeldPlacement(uint64_t _attempt, uint64_t _server, int64_t _time_left_us, uint32_t _unread, uint32_t _held)
+      : attempt_(flatbuffers::EndianScalar(_attempt)),
+        server_(flatbuffers::EndianScalar(_server)),
+        time_left_us_(flatbuffers::EndianScalar(_time_left_us)),
+        unread_(flatbuffers::EndianScalar(_unread)),
+        held_(flatbuffers::EndianScalar(_held)) {
   }
-  uint64_t service() const {
-    return flatbuffers::EndianScalar(service_);
+  uint64_t attempt() const {
+    return flatbuffers::EndianScalar(attempt_);
+  }
+  uint64_t server() const {
+    return flatbuffers::EndianScalar(server_);
   }
-  double read_tokens() const {
-    return flatbuffers::EndianScalar(read_tokens_);
+  int64_t time_left_us() const {
+    return flatbuffers::EndianScalar(time_left_us_);
   }
-  double run_seconds() const {
-    return flatbuffers::EndianScalar(run_seconds_);
+  uint32_t unread() const {
+    return flatbuffers::EndianScalar(unread_);
+  }
+  uint32_t held() const {
+    return flatbuffers::EndianScalar(held_);
   }
 };
-FLATBUFFERS_STRUCT_END(FleetDemand, 24);
+FLATBUFFERS_STRUCT_END(HeldPlacement, 32);
 
-struct FleetDemand::Traits {
-  using type = FleetDemand;
+struct HeldPlacement::Traits {
+  using type = HeldPlacement;
 };
 
 struct GrantRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2597,49 +2779,25 @@
   typedef FleetNewsBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_PEERS = 4,
+    VT_SENDER = 4,
     VT_REVISION = 6,
-    VT_READS_PLATFORM = 8,
-    VT_IS_LEAVING = 10,
-    VT_HOSTS = 12,
-    VT_LOADS = 14,
-    VT_DEMANDS = 16
+    VT_HOSTS = 8
   };
-  const flatbuffers::String *peers() const {
-    return GetPointer<const flatbuffers::String *>(VT_PEERS);
+  const currantreel::wire::FleetHost *sender() const {
+    return GetStruct<const currantreel::wire::FleetHost *>(VT_SENDER);
   }
   uint64_t revision() const {
     return GetField<uint64_t>(VT_REVISION, 0);
   }
-  bool reads_platform() const {
-    return GetField<uint8_t>(VT_READS_PLATFORM, 0) != 0;
-  }
-  bool is_leaving() const {
-    return GetField<uint8_t>(VT_IS_LEAVING, 0) != 0;
-  }
-  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *hosts() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_HOSTS);
-  }
-  const flatbuffers::Vector<const currantreel::wire::FleetLoad *> *loads() const {
-    return GetPointer<const flatbuffers::Vector<const currantreel::wire::FleetLoad *> *>(VT_LOADS);
-  }
-  const flatbuffers::Vector<const currantreel::wire::FleetDemand *> *demands() const {
-    return GetPointer<const flatbuffers::Vector<const currantreel::wire::FleetDemand *> *>(VT_DEMANDS);
+  const flatbuffers::Vector<const currantreel::wire::FleetHost *> *hosts() const {
+    return GetPointer<const flatbuffers::Vector<const currantreel::wire::FleetHost *> *>(VT_HOSTS);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_PEERS) &&
-           verifier.VerifyString(peers()) &&
+           VerifyField<currantreel::wire::FleetHost>(verifier, VT_SENDER, 8) &&
            VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
-           VerifyField<uint8_t>(verifier, VT_READS_PLATFORM, 1) &&
-           VerifyField<uint8_t>(verifier, VT_IS_LEAVING, 1) &&
            VerifyOffset(verifier, VT_HOSTS) &&
            verifier.VerifyVector(hosts()) &&
-           verifier.VerifyVectorOfStrings(hosts()) &&
-           VerifyOffset(verifier, VT_LOADS) &&
-           verifier.VerifyVector(loads()) &&
-           VerifyOffset(verifier, VT_DEMANDS) &&
-           verifier.VerifyVector(demands()) &&
            verifier.EndTable();
   }
 };
@@ -2648,27 +2806,15 @@
   typedef FleetNews Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_peers(flatbuffers::Offset<flatbuffers::String> peers) {
-    fbb_.AddOffset(FleetNews::VT_PEERS, peers);
+  void add_sender(const currantreel::wire::FleetHost *sender) {
+    fbb_.AddStruct(FleetNews::VT_SENDER, sender);
   }
   void add_revision(uint64_t revision) {
     fbb_.AddElement<uint64_t>(FleetNews::VT_REVISION, revision, 0);
   }
-  void add_reads_platform(bool reads_platform) {
-    fbb_.AddElement<uint8_t>(FleetNews::VT_READS_PLATFORM, static_cast<uint8_t>(reads_platform), 0);
-  }
-  void add_is_leaving(bool is_leaving) {
-    fbb_.AddElement<uint8_t>(FleetNews::VT_IS_LEAVING, static_cast<uint8_t>(is_leaving), 0);
-  }
-  void add_hosts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> hosts) {
+  void add_hosts(flatbuffers::Offset<flatbuffers::Vector<const currantreel::wire::FleetHost *>> hosts) {
     fbb_.AddOffset(FleetNews::VT_HOSTS, hosts);
   }
-  void add_loads(flatbuffers::Offset<flatbuffers::Vector<const currantreel::wire::FleetLoad *>> loads) {
-    fbb_.AddOffset(FleetNews::VT_LOADS, loads);
-  }
-  void add_demands(flatbuffers::Offset<flatbuffers::Vector<const currantreel::wire::FleetDemand *>> demands) {
-    fbb_.AddOffset(FleetNews::VT_DEMANDS, demands);
-  }
   explicit FleetNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2682,21 +2828,13 @@
 
 inline flatbuffers::Offset<FleetNews> CreateFleetNews(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> peers = 0,
+    const currantreel::wire::FleetHost *sender = nullptr,
     uint64_t revision = 0,
-    bool reads_platform = false,
-    bool is_leaving = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> hosts = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const currantreel::wire::FleetLoad *>> loads = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const currantreel::wire::FleetDemand *>> demands = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const currantreel::wire::FleetHost *>> hosts = 0) {
   FleetNewsBuilder builder_(_fbb);
   builder_.add_revision(revision);
-  builder_.add_demands(demands);
-  builder_.add_loads(loads);
   builder_.add_hosts(hosts);
-  builder_.add_peers(peers);
-  builder_.add_is_leaving(is_leaving);
-  builder_.add_reads_platform(reads_platform);
+  builder_.add_sender(sender);
   return builder_.Finish();
 }
 
@@ -2707,28 +2845,482 @@
 
 inline flatbuffers::Offset<FleetNews> CreateFleetNewsDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const char *peers = nullptr,
+    const currantreel::wire::FleetHost *sender = nullptr,
     uint64_t revision = 0,
-    bool reads_platform = false,
-    bool is_leaving = false,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *hosts = nullptr,
-    const std::vector<currantreel::wire::FleetLoad> *loads = nullptr,
-    const std::vector<currantreel::wire::FleetDemand> *demands = nullptr) {
-  auto peers__ = peers ? _fbb.CreateString(peers) : 0;
-  auto hosts__ = hosts ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*hosts) : 0;
-  auto loads__ = loads ? _fbb.CreateVectorOfStructs<currantreel::wire::FleetLoad>(*loads) : 0;
-  auto demands__ = demands ? _fbb.CreateVectorOfStructs<currantreel::wire::FleetDemand>(*demands) : 0;
+    const std::vector<currantreel::wire::FleetHost> *hosts = nullptr) {
+  auto hosts__ = hosts ? _fbb.CreateVectorOfStructs<currantreel::wire::FleetHost>(*hosts) : 0;
   return currantreel::wire::CreateFleetNews(
       _fbb,
-      peers__,
+      sender,
       revision,
-      reads_platform,
-      is_leaving,
-      hosts__,
-      loads__,
-      demands__);
+      hosts__);
 }
 
+struct PlacementAsk FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PlacementAskBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ATTEMPT = 4,
+    VT_SERVICE = 6,
+    VT_PART = 8,
+    VT_PARTS = 10,
+    VT_FAILURE_DOMAIN = 12,
+    VT_PROMPT = 14,
+    VT_PROMPT_TOKENS = 16,
+    VT_MOST_ANSWER_TOKENS = 18,
+    VT_BYTES = 20,
+    VT_IS_LONG_PROMPT = 22,
+    VT_IS_URGENT = 24,
+    VT_TIME_LEFT_US = 26,
+    VT_AVOID = 28
+  };
+  uint64_t attempt() const {
+    return GetField<uint64_t>(VT_ATTEMPT, 0);
+  }
+  uint64_t service() const {
+    return GetField<uint64_t>(VT_SERVICE, 0);
+  }
+  uint32_t part() const {
+    return GetField<uint32_t>(VT_PART, 0);
+  }
+  uint32_t parts() const {
+    return GetField<uint32_t>(VT_PARTS, 0);
+  }
+  uint64_t failure_domain() const {
+    return GetField<uint64_t>(VT_FAILURE_DOMAIN, 0);
+  }
+  const flatbuffers::Vector<const currantreel::wire::PromptPart *> *prompt() const {
+    return GetPointer<const flatbuffers::Vector<const currantreel::wire::PromptPart *> *>(VT_PROMPT);
+  }
+  uint32_t prompt_tokens() const {
+    return GetField<uint32_t>(VT_PROMPT_TOKENS, 0);
+  }
+  uint32_t most_answer_tokens() const {
+    return GetField<uint32_t>(VT_MOST_ANSWER_TOKENS, 0);
+  }
+  uint64_t bytes() const {
+    return GetField<uint64_t>(VT_BYTES, 0);
+  }
+  bool is_long_prompt() const {
+    return GetField<uint8_t>(VT_IS_LONG_PROMPT, 0) != 0;
+  }
+  bool is_urgent() const {
+    return GetField<uint8_t>(VT_IS_URGENT, 0) != 0;
+  }
+  int64_t time_left_us() const {
+    return GetField<int64_t>(VT_TIME_LEFT_US, 0);
+  }
+  const flatbuffers::Vector<uint64_t> *avoid() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_AVOID);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SERVICE, 8) &&
+           VerifyField<uint32_t>(verifier, VT_PART, 4) &&
+           VerifyField<uint32_t>(verifier, VT_PARTS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_FAILURE_DOMAIN, 8) &&
+           VerifyOffset(verifier, VT_PROMPT) &&
+           verifier.VerifyVector(prompt()) &&
+           VerifyField<uint32_t>(verifier, VT_PROMPT_TOKENS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_MOST_ANSWER_TOKENS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_BYTES, 8) &&
+           VerifyField<uint8_t>(verifier, VT_IS_LONG_PROMPT, 1) &&
+           VerifyField<uint8_t>(verifier, VT_IS_URGENT, 1) &&
+           VerifyField<int64_t>(verifier, VT_TIME_LEFT_US, 8) &&
+           VerifyOffset(verifier, VT_AVOID) &&
+           verifier.VerifyVector(avoid()) &&
+           verifier.EndTable();
+  }
+};
+
+struct PlacementAskBuilder {
+  typedef PlacementAsk Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_attempt(uint64_t attempt) {
+    fbb_.AddElement<uint64_t>(PlacementAsk::VT_ATTEMPT, attempt, 0);
+  }
+  void add_service(uint64_t service) {
+    fbb_.AddElement<uint64_t>(PlacementAsk::VT_SERVICE, service, 0);
+  }
+  void add_part(uint32_t part) {
+    fbb_.AddElement<uint32_t>(PlacementAsk::VT_PART, part, 0);
+  }
+  void add_parts(uint32_t parts) {
+    fbb_.AddElement<uint32_t>(PlacementAsk::VT_PARTS, parts, 0);
+  }
+  void add_failure_domain(uint64_t failure_domain) {
+    fbb_.AddElement<uint64_t>(PlacementAsk::VT_FAILURE_DOMAIN, failure_domain, 0);
+  }
+  void add_prompt(flatbuffers::Offset<flatbuffers::Vector<const currantreel::wire::PromptPart *>> prompt) {
+    fbb_.AddOffset(PlacementAsk::VT_PROMPT, prompt);
+  }
+  void add_prompt_tokens(uint32_t prompt_tokens) {
+    fbb_.AddElement<uint32_t>(PlacementAsk::VT_PROMPT_TOKENS, prompt_tokens, 0);
+  }
+  void add_most_answer_tokens(uint32_t most_answer_tokens) {
+    fbb_.AddElement<uint32_t>(PlacementAsk::VT_MOST_ANSWER_TOKENS, most_answer_tokens, 0);
+  }
+  void add_bytes(uint64_t bytes) {
+    fbb_.AddElement<uint64_t>(PlacementAsk::VT_BYTES, bytes, 0);
+  }
+  void add_is_long_prompt(bool is_long_prompt) {
+    fbb_.AddElement<uint8_t>(PlacementAsk::VT_IS_LONG_PROMPT, static_cast<uint8_t>(is_long_prompt), 0);
+  }
+  void add_is_urgent(bool is_urgent) {
+    fbb_.AddElement<uint8_t>(PlacementAsk::VT_IS_URGENT, static_cast<uint8_t>(is_urgent), 0);
+  }
+  void add_time_left_us(int64_t time_left_us) {
+    fbb_.AddElement<int64_t>(PlacementAsk::VT_TIME_LEFT_US, time_left_us, 0);
+  }
+  void add_avoid(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> avoid) {
+    fbb_.AddOffset(PlacementAsk::VT_AVOID, avoid);
+  }
+  explicit PlacementAskBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PlacementAsk> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PlacementAsk>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PlacementAsk> CreatePlacementAsk(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t attempt = 0,
+    uint64_t service = 0,
+    uint32_t part = 0,
+    uint32_t parts = 0,
+    uint64_t failure_domain = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const currantreel::wire::PromptPart *>> prompt = 0,
+    uint32_t prompt_tokens = 0,
+    uint32_t most_answer_tokens = 0,
+    uint64_t bytes = 0,
+    bool is_long_prompt = false,
+    bool is_urgent = false,
+    int64_t time_left_us = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> avoid = 0) {
+  PlacementAskBuilder builder_(_fbb);
+  builder_.add_time_left_us(time_left_us);
+  builder_.add_bytes(bytes);
+  builder_.add_failure_domain(failure_domain);
+  builder_.add_service(service);
+  builder_.add_attempt(attempt);
+  builder_.add_avoid(avoid);
+  builder_.add_most_answer_tokens(most_answer_tokens);
+  builder_.add_prompt_tokens(prompt_tokens);
+  builder_.add_prompt(prompt);
+  builder_.add_parts(parts);
+  builder_.add_part(part);
+  builder_.add_is_urgent(is_urgent);
+  builder_.add_is_long_prompt(is_long_prompt);
+  return builder_.Finish();
+}
+
+struct PlacementAsk::Traits {
+  using type = PlacementAsk;
+  static auto constexpr Create = CreatePlacementAsk;
+};
+
+inline flatbuffers::Offset<PlacementAsk> CreatePlacementAskDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t attempt = 0,
+    uint64_t service = 0,
+    uint32_t part = 0,
+    uint32_t parts = 0,
+    uint64_t failure_domain = 0,
+    const std::vector<currantreel::wire::PromptPart> *prompt = nullptr,
+    uint32_t prompt_tokens = 0,
+    uint32_t most_answer_tokens = 0,
+    uint64_t bytes = 0,
+    bool is_long_prompt = false,
+    bool is_urgent = false,
+    int64_t time_left_us = 0,
+    const std::vector<uint64_t> *avoid = nullptr) {
+  auto prompt__ = prompt ? _fbb.CreateVectorOfStructs<currantreel::wire::PromptPart>(*prompt) : 0;
+  auto avoid__ = avoid ? _fbb.CreateVector<uint64_t>(*avoid) : 0;
+  return currantreel::wire::CreatePlacementAsk(
+      _fbb,
+      attempt,
+      service,
+      part,
+      parts,
+      failure_domain,
+      prompt__,
+      prompt_tokens,
+      most_answer_tokens,
+      bytes,
+      is_long_prompt,
+      is_urgent,
+      time_left_us,
+      avoid__);
+}
+
+struct PlacementGrant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PlacementGrantBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ATTEMPT = 4,
+    VT_SERVER = 6,
+    VT_UNREAD = 8,
+    VT_OWNER = 10
+  };
+  uint64_t attempt() const {
+    return GetField<uint64_t>(VT_ATTEMPT, 0);
+  }
+  uint64_t server() const {
+    return GetField<uint64_t>(VT_SERVER, 0);
+  }
+  uint32_t unread() const {
+    return GetField<uint32_t>(VT_UNREAD, 0);
+  }
+  uint64_t owner() const {
+    return GetField<uint64_t>(VT_OWNER, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SERVER, 8) &&
+           VerifyField<uint32_t>(verifier, VT_UNREAD, 4) &&
+           VerifyField<uint64_t>(verifier, VT_OWNER, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct PlacementGrantBuilder {
+  typedef PlacementGrant Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_attempt(uint64_t attempt) {
+    fbb_.AddElement<uint64_t>(PlacementGrant::VT_ATTEMPT, attempt, 0);
+  }
+  void add_server(uint64_t server) {
+    fbb_.AddElement<uint64_t>(PlacementGrant::VT_SERVER, server, 0);
+  }
+  void add_unread(uint32_t unread) {
+    fbb_.AddElement<uint32_t>(PlacementGrant::VT_UNREAD, unread, 0);
+  }
+  void add_owner(uint64_t owner) {
+    fbb_.AddElement<uint64_t>(PlacementGrant::VT_OWNER, owner, 0);
+  }
+  explicit PlacementGrantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PlacementGrant> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PlacementGrant>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PlacementGrant> CreatePlacementGrant(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t attempt = 0,
+    uint64_t server = 0,
+    uint32_t unread = 0,
+    uint64_t owner = 0) {
+  PlacementGrantBuilder builder_(_fbb);
+  builder_.add_owner(owner);
+  builder_.add_server(server);
+  builder_.add_attempt(attempt);
+  builder_.add_unread(unread);
+  return builder_.Finish();
+}
+
+struct PlacementGrant::Traits {
+  using type = PlacementGrant;
+  static auto constexpr Create = CreatePlacementGrant;
+};
+
+struct PlacementNotes FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PlacementNotesBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NOTES = 4
+  };
+  const flatbuffers::Vector<const currantreel::wire::PlacementNote *> *notes() const {
+    return GetPointer<const flatbuffers::Vector<const currantreel::wire::PlacementNote *> *>(VT_NOTES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NOTES) &&
+           verifier.VerifyVector(notes()) &&
+           verifier.EndTable();
+  }
+};
+
+struct PlacementNotesBuilder {
+  typedef PlacementNotes Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_notes(flatbuffers::Offset<flatbuffers::Vector<const currantreel::wire::PlacementNote *>> notes) {
+    fbb_.AddOffset(PlacementNotes::VT_NOTES, notes);
+  }
+  explicit PlacementNotesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PlacementNotes> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PlacementNotes>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PlacementNotes> CreatePlacementNotes(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<const currantreel::wire::PlacementNote *>> notes = 0) {
+  PlacementNotesBuilder builder_(_fbb);
+  builder_.add_notes(notes);
+  return builder_.Finish();
+}
+
+struct PlacementNotes::Traits {
+  using type = PlacementNotes;
+  static auto constexpr Create = CreatePlacementNotes;
+};
+
+inline flatbuffers::Offset<PlacementNotes> CreatePlacementNotesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<currantreel::wire::PlacementNote> *notes = nullptr) {
+  auto notes__ = notes ? _fbb.CreateVectorOfStructs<currantreel::wire::PlacementNote>(*notes) : 0;
+  return currantreel::wire::CreatePlacementNotes(
+      _fbb,
+      notes__);
+}
+
+struct PlacementsHeld FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PlacementsHeldBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_PART = 6,
+    VT_PLACEMENTS = 8
+  };
+  uint64_t service() const {
+    return GetField<uint64_t>(VT_SERVICE, 0);
+  }
+  uint32_t part() const {
+    return GetField<uint32_t>(VT_PART, 0);
+  }
+  const flatbuffers::Vector<const currantreel::wire::HeldPlacement *> *placements() const {
+    return GetPointer<const flatbuffers::Vector<const currantreel::wire::HeldPlacement *> *>(VT_PLACEMENTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SERVICE, 8) &&
+           VerifyField<uint32_t>(verifier, VT_PART, 4) &&
+           VerifyOffset(verifier, VT_PLACEMENTS) &&
+           verifier.VerifyVector(placements()) &&
+           verifier.EndTable();
+  }
+};
+
+struct PlacementsHeldBuilder {
+  typedef PlacementsHeld Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(uint64_t service) {
+    fbb_.AddElement<uint64_t>(PlacementsHeld::VT_SERVICE, service, 0);
+  }
+  void add_part(uint32_t part) {
+    fbb_.AddElement<uint32_t>(PlacementsHeld::VT_PART, part, 0);
+  }
+  void add_placements(flatbuffers::Offset<flatbuffers::Vector<const currantreel::wire::HeldPlacement *>> placements) {
+    fbb_.AddOffset(PlacementsHeld::VT_PLACEMENTS, placements);
+  }
+  explicit PlacementsHeldBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PlacementsHeld> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PlacementsHeld>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PlacementsHeld> CreatePlacementsHeld(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t service = 0,
+    uint32_t part = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const currantreel::wire::HeldPlacement *>> placements = 0) {
+  PlacementsHeldBuilder builder_(_fbb);
+  builder_.add_service(service);
+  builder_.add_placements(placements);
+  builder_.add_part(part);
+  return builder_.Finish();
+}
+
+struct PlacementsHeld::Traits {
+  using type = PlacementsHeld;
+  static auto constexpr Create = CreatePlacementsHeld;
+};
+
+inline flatbuffers::Offset<PlacementsHeld> CreatePlacementsHeldDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t service = 0,
+    uint32_t part = 0,
+    const std::vector<currantreel::wire::HeldPlacement> *placements = nullptr) {
+  auto placements__ = placements ? _fbb.CreateVectorOfStructs<currantreel::wire::HeldPlacement>(*placements) : 0;
+  return currantreel::wire::CreatePlacementsHeld(
+      _fbb,
+      service,
+      part,
+      placements__);
+}
+
+struct PublishedRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PublishedRequestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REVISION = 4
+  };
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct PublishedRequestBuilder {
+  typedef PublishedRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(PublishedRequest::VT_REVISION, revision, 0);
+  }
+  explicit PublishedRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PublishedRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PublishedRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PublishedRequest> CreatePublishedRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t revision = 0) {
+  PublishedRequestBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  return builder_.Finish();
+}
+
+struct PublishedRequest::Traits {
+  using type = PublishedRequest;
+  static auto constexpr Create = CreatePublishedRequest;
+};
+
 struct PublishedItem FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef PublishedItemBuilder Builder;
   struct Traits;
@@ -2976,6 +3568,21 @@
   const currantreel::wire::PublishedNews *body_as_PublishedNews() const {
     return body_type() == currantreel::wire::Body::PublishedNews ? static_cast<const currantreel::wire::PublishedNews *>(body()) : nullptr;
   }
+  const currantreel::wire::PublishedRequest *body_as_PublishedRequest() const {
+    return body_type() == currantreel::wire::Body::PublishedRequest ? static_cast<const currantreel::wire::PublishedRequest *>(body()) : nullptr;
+  }
+  const currantreel::wire::PlacementAsk *body_as_PlacementAsk() const {
+    return body_type() == currantreel::wire::Body::PlacementAsk ? static_cast<const currantreel::wire::PlacementAsk *>(body()) : nullptr;
+  }
+  const currantreel::wire::PlacementGrant *body_as_PlacementGrant() const {
+    return body_type() == currantreel::wire::Body::PlacementGrant ? static_cast<const currantreel::wire::PlacementGrant *>(body()) : nullptr;
+  }
+  const currantreel::wire::PlacementNotes *body_as_PlacementNotes() const {
+    return body_type() == currantreel::wire::Body::PlacementNotes ? static_cast<const currantreel::wire::PlacementNotes *>(body()) : nullptr;
+  }
+  const currantreel::wire::PlacementsHeld *body_as_PlacementsHeld() const {
+    return body_type() == currantreel::wire::Body::PlacementsHeld ? static_cast<const currantreel::wire::PlacementsHeld *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
@@ -3083,6 +3690,26 @@
   return body_as_PublishedNews();
 }
 
+template<> inline const currantreel::wire::PublishedRequest *Frame::body_as<currantreel::wire::PublishedRequest>() const {
+  return body_as_PublishedRequest();
+}
+
+template<> inline const currantreel::wire::PlacementAsk *Frame::body_as<currantreel::wire::PlacementAsk>() const {
+  return body_as_PlacementAsk();
+}
+
+template<> inline const currantreel::wire::PlacementGrant *Frame::body_as<currantreel::wire::PlacementGrant>() const {
+  return body_as_PlacementGrant();
+}
+
+template<> inline const currantreel::wire::PlacementNotes *Frame::body_as<currantreel::wire::PlacementNotes>() const {
+  return body_as_PlacementNotes();
+}
+
+template<> inline const currantreel::wire::PlacementsHeld *Frame::body_as<currantreel::wire::PlacementsHeld>() const {
+  return body_as_PlacementsHeld();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -3230,6 +3857,26 @@
       auto ptr = reinterpret_cast<const currantreel::wire::PublishedNews *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::PublishedRequest: {
+      auto ptr = reinterpret_cast<const currantreel::wire::PublishedRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::PlacementAsk: {
+      auto ptr = reinterpret_cast<const currantreel::wire::PlacementAsk *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::PlacementGrant: {
+      auto ptr = reinterpret_cast<const currantreel::wire::PlacementGrant *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::PlacementNotes: {
+      auto ptr = reinterpret_cast<const currantreel::wire::PlacementNotes *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::PlacementsHeld: {
+      auto ptr = reinterpret_cast<const currantreel::wire::PlacementsHeld *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/currantreel/src/Peer/PeerDecoder.cpp
+++ b/currantreel/src/Peer/PeerDecoder.cpp
@@ -3,7 +3,10 @@
 #include "GossipCodec.h"
 #include "WireVector.h"
 #include <PeerMessage_generated.h>
+#include <arpa/inet.h>
+#include <array>
 #include <cmath>
+#include <cstring>
 
 namespace currantreel::detail {
 
@@ -27,13 +30,6 @@
     /// The message has a value that no correct host sends.
     void refuse() { m_isValid = false; }
 
-    /// A sum of work.
-    double amount(double amount)
-    {
-        require(std::isfinite(amount) && amount >= 0.0);
-        return isValid() ? amount : 0.0;
-    }
-
     Address address(const flatbuffers::String *text)
     {
         const auto parsed = text ? parseAddress(text->string_view()) : std::nullopt;
@@ -248,35 +244,110 @@
     return GrantMoved{ reader.grantId(table.id()) };
 }
 
+FleetHost fromWire(Reader &reader, const wire::FleetHost &host)
+{
+    FleetHost known;
+    in_addr ip{};
+    std::memcpy(&ip, host.ip()->Data(), sizeof(ip));
+    std::array<char, INET_ADDRSTRLEN> text{};
+    inet_ntop(AF_INET, &ip, text.data(), text.size());
+    if (ip.s_addr == 0 || host.port() == 0 || host.weight() == 0)
+        reader.refuse();
+    known.peers = Address{ text.data(), host.port() };
+    known.failureDomain = FailureDomainId{ host.failure_domain() };
+    known.heartbeat = host.heartbeat();
+    known.weight = host.weight();
+    known.isLeaving = host.is_leaving();
+    known.readsPlatform = host.reads_platform();
+    known.canOwn = host.can_own();
+    return known;
+}
+
 FleetNews decode(Reader &reader, const wire::FleetNews &table)
 {
     FleetNews news;
-    news.peers = reader.address(table.peers());
     news.revision = table.revision();
-    news.readsPlatform = table.reads_platform();
-    news.isLeaving = table.is_leaving();
+    if (!table.sender() || !isAligned(table.hosts()))
+        reader.refuse();
+    if (!reader.isValid())
+        return news;
+    news.sender = fromWire(reader, *table.sender());
     if (table.hosts()) {
-        for (const flatbuffers::String *host : *table.hosts())
-            news.hosts.push_back(reader.address(host));
+        for (const wire::FleetHost *host : *table.hosts())
+            news.hosts.push_back(fromWire(reader, *host));
     }
-    if (!isAligned(table.loads()) || !isAligned(table.demands()))
+    return news;
+}
+
+PlacementAsk decode(Reader &reader, const wire::PlacementAsk &table)
+{
+    PlacementAsk ask;
+    ask.attempt = AttemptId{ table.attempt() };
+    ask.service = ServiceId{ table.service() };
+    ask.part = table.part();
+    ask.parts = table.parts();
+    ask.failureDomain = FailureDomainId{ table.failure_domain() };
+    ask.prompt.tokens = table.prompt_tokens();
+    ask.prompt.mostAnswerTokens = table.most_answer_tokens();
+    ask.bytes = table.bytes();
+    ask.isLongPrompt = table.is_long_prompt();
+    ask.isUrgent = table.is_urgent();
+    ask.timeLeft = reader.time(table.time_left_us());
+    if (!isAligned(table.prompt()) || !isAligned(table.avoid()))
         reader.refuse();
     if (!reader.isValid())
-        return news;
-    if (table.loads()) {
-        for (const wire::FleetLoad *load : *table.loads())
-            news.loads.push_back(FleetLoad{
-                BackendServerId{ load->server() },
-                ServerLoad{ load->requests(), load->unread_tokens(), load->held_tokens() } });
+        return ask;
+    if (table.prompt()) {
+        for (const wire::PromptPart *part : *table.prompt())
+            ask.prompt.parts.push_back(PromptPart{ part->id(), part->tokens() });
     }
-    if (table.demands()) {
-        for (const wire::FleetDemand *demand : *table.demands())
-            news.demands.push_back(
-                FleetDemand{ ServiceId{ demand->service() },
-                             EngineDemand{ reader.amount(demand->read_tokens()),
-                                           reader.amount(demand->run_seconds()) } });
+    if (table.avoid()) {
+        for (const std::uint64_t server : *table.avoid())
+            ask.avoid.push_back(BackendServerId{ server });
     }
-    return news;
+    return ask;
+}
+
+PlacementGrant decode(Reader & /*reader*/, const wire::PlacementGrant &table)
+{
+    return PlacementGrant{ AttemptId{ table.attempt() }, BackendServerId{ table.server() },
+                           table.unread(), Incarnation{ table.owner() } };
+}
+
+PlacementNotes decode(Reader &reader, const wire::PlacementNotes &table)
+{
+    PlacementNotes notes;
+    if (!isAligned(table.notes()))
+        reader.refuse();
+    if (!reader.isValid() || !table.notes())
+        return notes;
+    for (const wire::PlacementNote *note : *table.notes()) {
+        if (note->progress() > static_cast<std::uint8_t>(PlacementProgress::Unreachable))
+            reader.refuse();
+        notes.notes.push_back(
+            { AttemptId{ note->attempt() }, static_cast<PlacementProgress>(note->progress()) });
+    }
+    return notes;
+}
+
+PlacementsHeld decode(Reader &reader, const wire::PlacementsHeld &table)
+{
+    PlacementsHeld held;
+    held.service = ServiceId{ table.service() };
+    held.part = table.part();
+    if (!isAligned(table.placements()))
+        reader.refuse();
+    if (!reader.isValid() || !table.placements())
+        return held;
+    for (const wire::HeldPlacement *one : *table.placements())
+        held.placements.push_back({ AttemptId{ one->attempt() }, BackendServerId{ one->server() },
+                                    one->unread(), one->held(), reader.time(one->time_left_us()) });
+    return held;
+}
+
+PublishedRequest decode(Reader & /*reader*/, const wire::PublishedRequest &table)
+{
+    return PublishedRequest{ table.revision() };
 }
 
 PublishedNews decode(Reader &reader, const wire::PublishedNews &table)
@@ -355,6 +426,16 @@
         return decodeAs<wire::FleetNews>(frame);
     case wire::Body::PublishedNews:
         return decodeAs<wire::PublishedNews>(frame);
+    case wire::Body::PublishedRequest:
+        return decodeAs<wire::PublishedRequest>(frame);
+    case wire::Body::PlacementAsk:
+        return decodeAs<wire::PlacementAsk>(frame);
+    case wire::Body::PlacementGrant:
+        return decodeAs<wire::PlacementGrant>(frame);
+    case wire::Body::PlacementNotes:
+        return decodeAs<wire::PlacementNotes>(frame);
+    case wire::Body::PlacementsHeld:
+        return decodeAs<wire::PlacementsHeld>(frame);
     default:
         return std::nullopt;
     }
--- a/currantreel/src/Peer/PeerEncoder.cpp
+++ b/currantreel/src/Peer/PeerEncoder.cpp
@@ -2,6 +2,9 @@
 
 #include "GossipCodec.h"
 #include <PeerMessage_generated.h>
+#include <arpa/inet.h>
+#include <array>
+#include <cstring>
 
 namespace currantreel::detail {
 
@@ -156,29 +159,77 @@
     return bodyOf(wire::CreateGrantMoved(builder, &id));
 }
 
+wire::FleetHost toWire(const FleetHost &host)
+{
+    in_addr ip{};
+    // An address that is not IPv4 stays zero, which receivers refuse.
+    inet_pton(AF_INET, host.peers.ip.c_str(), &ip);
+    std::array<std::uint8_t, sizeof(ip)> bytes{};
+    std::memcpy(bytes.data(), &ip, sizeof(ip));
+    return wire::FleetHost(host.failureDomain.value, host.heartbeat, flatbuffers::make_span(bytes),
+                           host.peers.port, host.weight, host.isLeaving, host.readsPlatform,
+                           host.canOwn);
+}
+
 EncodedBody encode(Builder &builder, const FleetNews &message)
 {
-    const auto peers = builder.CreateString(toText(message.peers));
-    std::vector<flatbuffers::Offset<flatbuffers::String>> hosts;
+    const wire::FleetHost sender = toWire(message.sender);
+    std::vector<wire::FleetHost> hosts;
     hosts.reserve(message.hosts.size());
-    for (const Address &host : message.hosts)
-        hosts.push_back(builder.CreateString(toText(host)));
-    std::vector<wire::FleetLoad> loads;
-    loads.reserve(message.loads.size());
-    for (const FleetLoad &load : message.loads)
-        loads.emplace_back(load.server.value, load.load.requests,
-                           static_cast<std::uint32_t>(load.load.unreadTokens),
-                           static_cast<std::uint32_t>(load.load.heldTokens));
-    const auto hostVector = builder.CreateVector(hosts);
-    const auto loadVector = builder.CreateVectorOfStructs(loads);
-    std::vector<wire::FleetDemand> demands;
-    demands.reserve(message.demands.size());
-    for (const FleetDemand &demand : message.demands)
-        demands.emplace_back(demand.service.value, demand.demand.readTokens,
-                             demand.demand.runSeconds);
-    const auto demandVector = builder.CreateVectorOfStructs(demands);
-    return bodyOf(wire::CreateFleetNews(builder, peers, message.revision, message.readsPlatform,
-                                        message.isLeaving, hostVector, loadVector, demandVector));
+    for (const FleetHost &host : message.hosts)
+        hosts.push_back(toWire(host));
+    const auto hostVector = builder.CreateVectorOfStructs(hosts);
+    return bodyOf(wire::CreateFleetNews(builder, &sender, message.revision, hostVector));
+}
+
+EncodedBody encode(Builder &builder, const PlacementAsk &message)
+{
+    std::vector<wire::PromptPart> parts;
+    parts.reserve(message.prompt.parts.size());
+    for (const PromptPart &part : message.prompt.parts)
+        parts.emplace_back(part.id, part.tokens);
+    std::vector<std::uint64_t> avoid;
+    avoid.reserve(message.avoid.size());
+    for (const BackendServerId server : message.avoid)
+        avoid.push_back(server.value);
+    const auto promptVector = builder.CreateVectorOfStructs(parts);
+    const auto avoidVector = builder.CreateVector(avoid);
+    return bodyOf(wire::CreatePlacementAsk(
+        builder, message.attempt.value, message.service.value, message.part, message.parts,
+        message.failureDomain.value, promptVector, message.prompt.tokens,
+        message.prompt.mostAnswerTokens, message.bytes, message.isLongPrompt, message.isUrgent,
+        message.timeLeft.count(), avoidVector));
+}
+
+EncodedBody encode(Builder &builder, const PlacementGrant &message)
+{
+    return bodyOf(wire::CreatePlacementGrant(builder, message.attempt.value, message.server.value,
+                                             message.unread, message.owner.value));
+}
+
+EncodedBody encode(Builder &builder, const PlacementNotes &message)
+{
+    std::vector<wire::PlacementNote> notes;
+    notes.reserve(message.notes.size());
+    for (const PlacementNote &note : message.notes)
+        notes.emplace_back(note.attempt.value, static_cast<std::uint8_t>(note.progress));
+    return bodyOf(wire::CreatePlacementNotes(builder, builder.CreateVectorOfStructs(notes)));
+}
+
+EncodedBody encode(Builder &builder, const PlacementsHeld &message)
+{
+    std::vector<wire::HeldPlacement> placements;
+    placements.reserve(message.placements.size());
+    for (const HeldPlacement &one : message.placements)
+        placements.emplace_back(one.attempt.value, one.server.value, one.timeLeft.count(),
+                                one.unread, one.held);
+    const auto vector = builder.CreateVectorOfStructs(placements);
+    return bodyOf(wire::CreatePlacementsHeld(builder, message.service.value, message.part, vector));
+}
+
+EncodedBody encode(Builder &builder, const PublishedRequest &message)
+{
+    return bodyOf(wire::CreatePublishedRequest(builder, message.revision));
 }
 
 EncodedBody encode(Builder &builder, const PublishedNews &message)
--- a/currantreel/src/Peer/PeerFrame.h
+++ b/currantreel/src/Peer/PeerFrame.h
@@ -10,7 +10,7 @@
 namespace currantreel {
 
 /// Version of the protocol between hosts. Hosts of another version are refused.
-inline constexpr std::uint32_t peerProtocolVersion = 1;
+inline constexpr std::uint32_t peerProtocolVersion = 2;
 
 /// Largest frame without its length prefix.
 inline constexpr std::size_t largestFrameBytes = 256UL * 1024;
--- a/currantreel/src/Settings/HostSettings.cpp
+++ b/currantreel/src/Settings/HostSettings.cpp
@@ -15,6 +15,8 @@
 constexpr Range platformPollMilliseconds{ 100, 60'000 };
 constexpr Range stopGraceMilliseconds{ 0, 600'000 };
 constexpr std::size_t shortestSecretBytes = 16;
+constexpr double leastProcessorShare = 0.01;
+constexpr double mostProcessorShare = 256.0;
 constexpr double mostRetryRatio = 10.0;
 constexpr double mostRetrySlack = 1e6;
 constexpr double mostRetryWindowSeconds = 600.0;
@@ -80,6 +82,8 @@
     forward.retryRatio = table.real("retry_ratio", 0.0, mostRetryRatio, forward.retryRatio);
     forward.retrySlack = table.real("retry_slack", 0.0, mostRetrySlack, forward.retrySlack);
     forward.retryWindow = table.seconds("retry_window_s", 0.1, mostRetryWindowSeconds, 10.0);
+    forward.processorShare =
+        table.real("processor_share", leastProcessorShare, mostProcessorShare, 1.0);
     for (const std::string &text : table.strings("seeds", false)) {
         if (const auto address = parseAddress(text))
             forward.seeds.push_back(*address);
--- a/currantreel/src/Settings/HostSettings.h
+++ b/currantreel/src/Settings/HostSettings.h
@@ -31,6 +31,7 @@
     double retryRatio = 0.1; ///< Repeated sends for each request, of all hosts together.
     double retrySlack = 10.0; ///< Repeated sends in a window beyond those, of all hosts together.
     Duration retryWindow{};
+    double processorShare = 1.0; ///< Share of a core that this host has.
     std::vector<Address> seeds; ///< Where some hosts, of those that are known at start, take peers.
 };
 
--- a/currantreel/src/Shell/ForwardDaemon.cpp
+++ b/currantreel/src/Shell/ForwardDaemon.cpp
@@ -27,6 +27,27 @@
 /// Hosts that are taken to repeat requests as long as nothing is known of them.
 constexpr std::size_t assumedHosts = 9;
 
+/// Shortest time between two log lines on the number of peers.
+constexpr Duration peersLogInterval = 1s;
+/// Heartbeats that a host can make in a second at most, so that those of its next process are higher.
+constexpr std::uint64_t heartbeatsPerSecond = 64;
+
+/// First heartbeat of this process.
+std::uint64_t firstHeartbeat()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(sinceEpoch).count();
+    return static_cast<std::uint64_t>(seconds) * heartbeatsPerSecond;
+}
+
+/// Weight of a host in the division of common work, from its share of a core.
+std::uint8_t weightOf(double processorShare)
+{
+    constexpr double weightPerCore = 100.0;
+    constexpr double mostWeight = 255.0;
+    return static_cast<std::uint8_t>(std::clamp(processorShare * weightPerCore, 1.0, mostWeight));
+}
+
 std::uint64_t drawSeed()
 {
     std::random_device device;
@@ -40,6 +61,11 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
 }
 
+std::string hexOf(HostId host)
+{
+    return fmt::format("{:x}", host.value);
+}
+
 std::string_view nameOf(DecisionKind kind)
 {
     switch (kind) {
@@ -106,7 +132,8 @@
                       onStoreFailed(failure, detail);
                   })),
       m_reader(m_store, m_published, timingOf(m_settings)),
-      m_fleet(m_settings.peers, drawSeed()),
+      m_fleet(m_settings.peers, firstHeartbeat(), drawSeed()),
+      m_leases(m_system.directory(), m_system.groups(), Incarnation{ startedAt() }),
       m_peers(
           m_base.get(), m_settings,
           LinkIdentity{ FleetSystem::idOf(m_settings.peers), Incarnation{ startedAt() }, {} },
@@ -126,6 +153,9 @@
     m_system.retries().setBound(bound);
     m_system.retries().setHosts(assumedHosts);
     m_fleet.setSeeds(m_settings.forward->seeds);
+    m_system.setOwnerLookup([this](TimePoint now, ServiceId service, std::size_t part) {
+        return m_fleet.ownerOf(now, service, part);
+    });
 }
 
 int ForwardDaemon::run()
@@ -330,44 +360,106 @@
 
 void ForwardDaemon::onPeerEvent(Event event)
 {
-    const auto *received = std::get_if<PeerMessageReceived>(&event);
-    if (!received)
-        return;
-    if (const auto *news = std::get_if<FleetNews>(&received->message))
-        m_fleet.receive(steadyNow(), received->from, *news);
-    else if (const auto *items = std::get_if<PublishedNews>(&received->message))
-        apply(steadyNow(), m_published.apply(steadyNow(), items->items));
+    if (const auto *received = std::get_if<PeerMessageReceived>(&event))
+        std::visit([&](const auto &message) { receive(received->from, message); },
+                   received->message);
+}
+
+void ForwardDaemon::receive(HostId from, const FleetNews &news)
+{
+    m_fleet.receive(steadyNow(), from, news);
+}
+
+void ForwardDaemon::receive(HostId from, const PublishedRequest &request)
+{
+    m_fleet.receive(steadyNow(), from, request, m_published);
+    sendFleet(steadyNow());
+}
+
+void ForwardDaemon::receive(HostId from, const PublishedNews &news)
+{
+    m_fleet.onItems(from);
+    apply(steadyNow(), m_published.apply(steadyNow(), news.items));
+    sendFleet(steadyNow());
+}
+
+void ForwardDaemon::receive(HostId from, const PlacementAsk &ask)
+{
+    m_peers.send(from, m_fleet.addressOf(from), m_leases.ask(steadyNow(), from, ask));
+}
+
+void ForwardDaemon::receive(HostId from, const PlacementGrant &grant)
+{
+    m_system.onGrant(steadyNow(), from, grant);
+    pump();
+}
+
+void ForwardDaemon::receive(HostId from, const PlacementNotes &notes)
+{
+    m_leases.receive(steadyNow(), from, notes);
+    m_system.onServersChanged(steadyNow());
+    pump();
+}
+
+void ForwardDaemon::receive(HostId from, const PlacementsHeld &held)
+{
+    m_leases.receive(steadyNow(), from, held);
+    m_log.write("owner_taken_over", { { "host", hexOf(from) },
+                                      { "part", std::to_string(held.part) },
+                                      { "requests", std::to_string(held.placements.size()) } });
+}
+
+void ForwardDaemon::handle(const TellOwner &tell)
+{
+    std::visit(
+        [&](const auto &message) {
+            m_peers.send(tell.owner, m_fleet.addressOf(tell.owner), message);
+        },
+        tell.message);
+}
+
+void ForwardDaemon::handle(const PassOverOwner &silent)
+{
+    m_fleet.passOver(steadyNow(), silent.owner);
+    m_log.write("owner_silent", { { "host", hexOf(silent.owner) } });
 }
 
-FleetSelf ForwardDaemon::describeSelf(TimePoint time) const
+FleetSelf ForwardDaemon::describeSelf() const
 {
     FleetSelf self;
-    self.revision = m_published.revision();
-    self.readsPlatform = m_isStoreReachable;
+    self.failureDomain = FailureDomainId::ofName(m_settings.failureDomain);
+    self.weight = weightOf(m_settings.forward->processorShare);
+    self.readsPlatform = m_isStoreReachable && m_reader.isReading();
     self.isLeaving = m_isStopping;
-    for (const ForwardServer &server : m_system.directory().servers()) {
-        if (server.own.requests > 0)
-            self.loads.push_back(FleetLoad{ server.id, server.own });
-    }
-    for (const auto &[service, demand] : m_system.groups().demands(time))
-        self.demands.push_back(FleetDemand{ service, demand });
+    self.canOwn = isReady();
     return self;
 }
 
-void ForwardDaemon::runFleet(TimePoint time)
+void ForwardDaemon::sendFleet(TimePoint time)
 {
-    for (const FleetOutgoing &outgoing : m_fleet.run(time, describeSelf(time), m_published)) {
+    for (const FleetOutgoing &outgoing : m_fleet.run(time, describeSelf(), m_published)) {
         std::visit(
             [&](const auto &message) { m_peers.send(outgoing.to, outgoing.address, message); },
             outgoing.message);
     }
-    m_system.directory().setOthers(m_fleet.othersLoads(time));
-    m_system.groups().setOthers(m_fleet.othersDemands(time));
+}
+
+void ForwardDaemon::runFleet(TimePoint time)
+{
+    sendFleet(time);
+    const bool hasToRead = m_fleet.hasToRead(time);
+    if (hasToRead != m_reader.isWatching())
+        m_log.write(hasToRead ? "platform_reading" : "platform_left_to_others",
+                    { { "revision", std::to_string(m_published.revision()) } });
+    m_reader.setWatching(time, hasToRead);
+    m_leases.run(time, [this, time](HostId host) { return m_fleet.isPresent(time, host); });
     m_system.retries().setHosts(std::max(m_fleet.countedHosts(time), m_fleet.presentHosts(time) > 0
                                                                          ? std::size_t{ 1 }
                                                                          : assumedHosts));
-    if (m_fleet.presentHosts(time) == m_presentHosts)
+    const bool isUnchanged = m_fleet.presentHosts(time) == m_presentHosts;
+    if (isUnchanged || time - m_peersLoggedAt < peersLogInterval)
         return;
+    m_peersLoggedAt = time;
     m_presentHosts = m_fleet.presentHosts(time);
     m_log.write("peers_changed", { { "present", std::to_string(m_presentHosts) } });
 }
@@ -397,13 +489,17 @@
     switch (note.kind) {
     case DecisionKind::Chosen:
     case DecisionKind::Queued:
-        m_log.write(nameOf(note.kind), { { "request", note.callerId },
-                                         { "route", note.route },
-                                         { "server", note.instance },
-                                         { "load", std::to_string(note.load) },
-                                         { "waiting", std::to_string(note.waiting) },
-                                         { "version", std::to_string(note.version) },
-                                         { "age_ms", milliseconds(note.age) } });
+        m_log.write(nameOf(note.kind),
+                    { { "request", note.callerId },
+                      { "route", note.route },
+                      { "server", note.instance },
+                      { "chosen_by", note.owner.isValid() ? hexOf(note.owner) : "self" },
+                      { "load", std::to_string(note.load) },
+                      { "prompt_tokens", std::to_string(note.promptTokens) },
+                      { "unread_tokens", std::to_string(note.unread) },
+                      { "waiting", std::to_string(note.waiting) },
+                      { "version", std::to_string(note.version) },
+                      { "age_ms", milliseconds(note.age) } });
         break;
     case DecisionKind::Ended:
     case DecisionKind::Retried:
--- a/currantreel/src/Shell/ForwardDaemon.h
+++ b/currantreel/src/Shell/ForwardDaemon.h
@@ -2,6 +2,7 @@
 #define CURRANTREEL_SHELL_FORWARDDAEMON_H
 
 #include "../Fleet/FleetSystem.h"
+#include "../Forward/PlacementLeases.h"
 #include "../Forward/PublishedReader.h"
 #include "../Forward/PublishedState.h"
 #include "ForwardFront.h"
@@ -41,11 +42,26 @@
     void applyDocument(TimePoint now, const PublishedItem &item, const platform::Ignored &ignored);
     void applyDocument(TimePoint now, const PublishedItem &item, const Error &error);
     void onPeerEvent(Event event);
+    void receive(HostId from, const FleetNews &news);
+    void receive(HostId from, const PublishedRequest &request);
+    void receive(HostId from, const PublishedNews &news);
+    void receive(HostId from, const PlacementAsk &ask);
+    void receive(HostId from, const PlacementGrant &grant);
+    void receive(HostId from, const PlacementNotes &notes);
+    void receive(HostId from, const PlacementsHeld &held);
+    /// Messages of the model interface do not concern hosts of published routes.
+    template <typename T>
+    void receive(HostId /*from*/, const T & /*message*/)
+    {
+    }
     void runFleet(TimePoint now);
-    [[nodiscard]] FleetSelf describeSelf(TimePoint now) const;
+    void sendFleet(TimePoint now);
+    [[nodiscard]] FleetSelf describeSelf() const;
     void onStoreFailed(ReadFailure failure, const std::string &detail);
     void setStoreReachable(bool isReachable, const std::string &detail);
     void handle(const DecisionNote &note);
+    void handle(const TellOwner &tell);
+    void handle(const PassOverOwner &silent);
     template <typename T>
     void handle(const T &effect)
     {
@@ -70,6 +86,7 @@
     platform::StoreClient m_store;
     Reader m_reader;
     FleetSystem m_fleet;
+    PlacementLeases m_leases;
     PeerLinks m_peers;
     ForwardOperators m_operators;
     EventHandle m_tick;
@@ -84,6 +101,7 @@
     bool m_isStoreReachable = false;
     bool m_wasReady = false;
     std::size_t m_presentHosts = 0; ///< As last logged.
+    TimePoint m_peersLoggedAt;
 };
 
 } // namespace currantreel
--- a/currantreel/src/World/PeerMessage.h
+++ b/currantreel/src/World/PeerMessage.h
@@ -4,6 +4,7 @@
 #include "../Admission/GrantMessages.h"
 #include "../Configuration/ConfigurationMessages.h"
 #include "../Fleet/FleetMessages.h"
+#include "../Forward/PlacementMessages.h"
 #include "../Membership/MembershipMessages.h"
 #include <variant>
 
@@ -14,7 +15,8 @@
     std::variant<GrantRequest, Granted, GrantShed, GrantWithdrawn, LeaseReleased, LeaseRenewal,
                  ConfigurationAnnounce, PatchRequest, PatchBatch, SnapshotRequest, SnapshotPart,
                  LeavingServers, LeasePreempted, Probe, ProbeAck, ProbeRequest, NewsPush,
-                 GrantMoved, FleetNews, PublishedNews>;
+                 GrantMoved, FleetNews, PublishedNews, PublishedRequest, PlacementAsk,
+                 PlacementGrant, PlacementNotes, PlacementsHeld>;
 
 } // namespace currantreel
 
--- a/currantreel/src/World/World.h
+++ b/currantreel/src/World/World.h
@@ -81,6 +81,11 @@
     // What hosts of published routes tell each other does not concern the model interface.
     void receive(HostId /*from*/, const FleetNews & /*message*/) { }
     void receive(HostId /*from*/, const PublishedNews & /*message*/) { }
+    void receive(HostId /*from*/, const PublishedRequest & /*message*/) { }
+    void receive(HostId /*from*/, const PlacementAsk & /*message*/) { }
+    void receive(HostId /*from*/, const PlacementGrant & /*message*/) { }
+    void receive(HostId /*from*/, const PlacementNotes & /*message*/) { }
+    void receive(HostId /*from*/, const PlacementsHeld & /*message*/) { }
     template <MembershipMessage Message>
     void receive(HostId from, const Message &message);
 
