--- a/currantreel/src/Fleet/FleetSystem.cpp
+++ b/currantreel/src/Fleet/FleetSystem.cpp
@@ -43,7 +43,7 @@
 /// Time in which a host that reads the platform itself learns of a change.
 constexpr Duration readingLag = 250ms;
 /// Time until published items are asked for once more, at another host.
-constexpr Duration fetchTimeout = 300ms;
+constexpr Duration fetchTimeout = 800ms;
 /// Most bytes of published items in one message.
 constexpr std::size_t mostItemBytes = 128UL * 1024;
 /// Hosts of a failure domain that read the platform while all is well.
--- a/currantreel/src/Forward/ForwardAttempts.cpp
+++ b/currantreel/src/Forward/ForwardAttempts.cpp
@@ -280,6 +280,17 @@
     return silence >= std::max(targets, timing::shortestSilence);
 }
 
+void ForwardSystem::putBehind(TimePoint now, Call &call)
+{
+    const auto needed =
+        std::chrono::duration_cast<Duration>(call.route->target * timing::neededShareOfTarget);
+    if (call.isBehind || call.hasBegun || now < call.targetAt - needed)
+        return;
+    dequeue(call);
+    call.isBehind = true;
+    enqueue(call);
+}
+
 void ForwardSystem::checkCall(TimePoint now, Call &call)
 {
     if (now >= call.endAt) {
@@ -293,6 +304,7 @@
         return;
     }
     if (call.state == State::Waiting) {
+        putBehind(now, call);
         const bool hasServers = !m_directory.usable(call.service).empty();
         if (!hasServers && !call.hasBegun && now >= call.retryAt)
             giveUp(now, call, ResultCode::NoBackendServer);
--- a/currantreel/src/Forward/ForwardOwners.cpp
+++ b/currantreel/src/Forward/ForwardOwners.cpp
@@ -42,6 +42,7 @@
     ask.bytes = request.bytes;
     ask.isLongPrompt = request.isLongPrompt;
     ask.isUrgent = request.isUrgent;
+    ask.target = request.target;
     ask.timeLeft = call.endAt - now;
     ask.avoid = call.tried;
     for (const ForwardServer *server : m_directory.usable(call.service)) {
--- a/currantreel/src/Forward/ForwardSystem.cpp
+++ b/currantreel/src/Forward/ForwardSystem.cpp
@@ -130,7 +130,7 @@
 
 QueuePosition ForwardSystem::positionOf(const Call &call) const
 {
-    return QueuePosition{ call.rank, call.targetAt, call.id };
+    return QueuePosition{ call.rank, call.isBehind, call.targetAt, call.id };
 }
 
 void ForwardSystem::enqueue(Call &call)
@@ -157,6 +157,7 @@
     if (call.route->hasPrompt)
         request.prompt = &call.prompt;
     request.isLongPrompt = call.isLongPrompt;
+    request.target = call.route->target;
     return request;
 }
 
--- a/currantreel/src/Forward/ForwardSystem.h
+++ b/currantreel/src/Forward/ForwardSystem.h
@@ -18,10 +18,12 @@
 
 namespace currantreel {
 
-/// Order of waiting requests: the more urgent tier first, then the earlier target.
+/// Order of waiting requests: the more urgent tier first, then those that can still meet their target,
+/// then the earlier target.
 struct QueuePosition
 {
     std::uint32_t rank = 0;
+    bool isBehind = false; ///< Too late for its target.
     TimePoint targetAt;
     RequestId request;
 
@@ -109,6 +111,7 @@
         TimePoint arrivedAt;
         TimePoint targetAt;
         TimePoint endAt;
+        bool isBehind = false; ///< Waited until it was too late for its target.
         TimePoint queuedUntil; ///< Refused if it still waits then.
         TimePoint retryAt; ///< Not sent again before.
         AttemptId attempt;
@@ -159,6 +162,7 @@
     void giveUp(TimePoint now, Call &call, ResultCode code);
     void finish(TimePoint now, Call &call, const AnswerStatus &answer);
     void end(RequestId request);
+    void putBehind(TimePoint now, Call &call);
     void checkCall(TimePoint now, Call &call);
     [[nodiscard]] bool isSilent(TimePoint now, const Call &call) const;
     [[nodiscard]] DecisionNote noteOf(TimePoint now, const Call &call, DecisionKind kind) const;
--- a/currantreel/src/Forward/ForwardTiming.h
+++ b/currantreel/src/Forward/ForwardTiming.h
@@ -26,6 +26,9 @@
 inline constexpr Duration retryDelay = 30ms;
 /// Part of the time left that a request may spend in the queue.
 inline constexpr double queuedShare = 0.5;
+/// Part of its target that a request needs at least once it is sent: one that waited longer lets others
+/// of its tier go first.
+inline constexpr double neededShareOfTarget = 0.4;
 /// Advice to callers when nothing better is known.
 inline constexpr Duration defaultRetryAfter = 400ms;
 /// Time limit of requests that state none on routes that state none.
--- a/currantreel/src/Forward/PlacementLeases.cpp
+++ b/currantreel/src/Forward/PlacementLeases.cpp
@@ -39,6 +39,7 @@
     request.bytes = ask.bytes;
     request.isLongPrompt = ask.isLongPrompt;
     request.isUrgent = ask.isUrgent;
+    request.target = ask.target;
     request.tried = ask.avoid;
     ForwardServer *server = chooseServer(*m_directory, *m_groups, request, now);
     if (!server)
--- a/currantreel/src/Forward/PlacementMessages.h
+++ b/currantreel/src/Forward/PlacementMessages.h
@@ -21,6 +21,7 @@
     std::uint64_t bytes = 0; ///< Of the request and of its expected answer.
     bool isLongPrompt = false;
     bool isUrgent = false; ///< Of the top tier.
+    Duration target{}; ///< Until the first event of the answer.
     Duration timeLeft{};
     std::vector<BackendServerId> avoid; ///< Servers that failed the request or seem out of reach.
 };
--- a/currantreel/src/Forward/ServerPlacement.cpp
+++ b/currantreel/src/Forward/ServerPlacement.cpp
@@ -32,6 +32,11 @@
 constexpr double harmlessUnreadTokens = 12'000.0;
 constexpr double tokensPerHarm = 80'000.0;
 
+/// Prompt tokens that an engine reads in a second, and the part of a request's target in which they may
+/// be read: an engine with more before it would make this request late, and all that come after.
+constexpr double readTokensPerSecond = 75'000.0;
+constexpr double readShareOfTarget = 0.7;
+
 /// Rank of @p server for @p subject; the highest one is preferred.
 std::uint64_t rendezvousRank(const ForwardServer &server, std::uint64_t subject)
 {
@@ -74,6 +79,13 @@
         return false;
     if (server.memoryTokens == 0 || request.isUrgent || !request.prompt)
         return true;
+    const double own = request.prompt->tokens - server.cache.keptTokens(*request.prompt);
+    const double mostUnread = readTokensPerSecond * readShareOfTarget
+                              * std::chrono::duration<double>(request.target).count();
+    const bool isBacklogged =
+        load.unreadTokens > 0 && static_cast<double>(load.unreadTokens) + own > mostUnread;
+    if (mostUnread > 0.0 && isBacklogged)
+        return false;
     const double needed = static_cast<double>(load.heldTokens) + request.prompt->tokens;
     return load.requests == 0
            || needed <= lowerTierMemoryShare * static_cast<double>(server.memoryTokens);
--- a/currantreel/src/Forward/ServerPlacement.h
+++ b/currantreel/src/Forward/ServerPlacement.h
@@ -18,6 +18,7 @@
     std::size_t bytes = 0; ///< Of the request and of its expected answer.
     bool isLongPrompt = false;
     bool isUrgent = false; ///< Of the top tier: may use places that lower tiers leave free.
+    Duration target{}; ///< Until the first event of the answer; zero for no such target.
     std::span<const BackendServerId> tried; ///< Servers that failed the request.
 };
 
--- a/currantreel/src/Peer/Generated/PeerMessage_generated.h
+++ b/currantreel/src/Peer/Generated/PeerMessage_generated.h
@@ -2872,7 +2872,8 @@
     VT_IS_LONG_PROMPT = 22,
     VT_IS_URGENT = 24,
     VT_TIME_LEFT_US = 26,
-    VT_AVOID = 28
+    VT_AVOID = 28,
+    VT_TARGET_US = 30
   };
   uint64_t attempt() const {
     return GetField<uint64_t>(VT_ATTEMPT, 0);
@@ -2913,6 +2914,9 @@
   const flatbuffers::Vector<uint64_t> *avoid() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_AVOID);
   }
+  int64_t target_us() const {
+    return GetField<int64_t>(VT_TARGET_US, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
@@ -2930,6 +2934,7 @@
            VerifyField<int64_t>(verifier, VT_TIME_LEFT_US, 8) &&
            VerifyOffset(verifier, VT_AVOID) &&
            verifier.VerifyVector(avoid()) &&
+           VerifyField<int64_t>(verifier, VT_TARGET_US, 8) &&
            verifier.EndTable();
   }
 };
@@ -2977,6 +2982,9 @@
   void add_avoid(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> avoid) {
     fbb_.AddOffset(PlacementAsk::VT_AVOID, avoid);
   }
+  void add_target_us(int64_t target_us) {
+    fbb_.AddElement<int64_t>(PlacementAsk::VT_TARGET_US, target_us, 0);
+  }
   explicit PlacementAskBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3002,8 +3010,10 @@
     bool is_long_prompt = false,
     bool is_urgent = false,
     int64_t time_left_us = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> avoid = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> avoid = 0,
+    int64_t target_us = 0) {
   PlacementAskBuilder builder_(_fbb);
+  builder_.add_target_us(target_us);
   builder_.add_time_left_us(time_left_us);
   builder_.add_bytes(bytes);
   builder_.add_failure_domain(failure_domain);
@@ -3039,7 +3049,8 @@
     bool is_long_prompt = false,
     bool is_urgent = false,
     int64_t time_left_us = 0,
-    const std::vector<uint64_t> *avoid = nullptr) {
+    const std::vector<uint64_t> *avoid = nullptr,
+    int64_t target_us = 0) {
   auto prompt__ = prompt ? _fbb.CreateVectorOfStructs<currantreel::wire::PromptPart>(*prompt) : 0;
   auto avoid__ = avoid ? _fbb.CreateVector<uint64_t>(*avoid) : 0;
   return currantreel::wire::CreatePlacementAsk(
@@ -3056,7 +3067,8 @@
       is_long_prompt,
       is_urgent,
       time_left_us,
-      avoid__);
+      avoid__,
+      target_us);
 }
 
 struct PlacementGrant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/currantreel/src/Peer/PeerDecoder.cpp
+++ b/currantreel/src/Peer/PeerDecoder.cpp
@@ -292,6 +292,7 @@
     ask.bytes = table.bytes();
     ask.isLongPrompt = table.is_long_prompt();
     ask.isUrgent = table.is_urgent();
+    ask.target = reader.time(table.target_us());
     ask.timeLeft = reader.time(table.time_left_us());
     if (!isAligned(table.prompt()) || !isAligned(table.avoid()))
         reader.refuse();
--- a/currantreel/src/Peer/PeerEncoder.cpp
+++ b/currantreel/src/Peer/PeerEncoder.cpp
@@ -198,7 +198,7 @@
         builder, message.attempt.value, message.service.value, message.part, message.parts,
         message.failureDomain.value, promptVector, message.prompt.tokens,
         message.prompt.mostAnswerTokens, message.bytes, message.isLongPrompt, message.isUrgent,
-        message.timeLeft.count(), avoidVector));
+        message.timeLeft.count(), avoidVector, message.target.count()));
 }
 
 EncodedBody encode(Builder &builder, const PlacementGrant &message)
--- a/test/FleetSystemTest.cpp
+++ b/test/FleetSystemTest.cpp
@@ -150,7 +150,8 @@
     CHECK(perHost <= 3'000.0);
 }
 
-TEST_CASE("hosts of a large fleet know each other, and miss a lost one in twice the time for which it counts as present")
+TEST_CASE("hosts of a large fleet know each other, and miss a lost one in twice the time for which "
+          "it counts as present")
 {
     constexpr std::size_t count = 80;
     Hosts hosts(count);
--- a/test/ForwardTest.cpp
+++ b/test/ForwardTest.cpp
@@ -117,6 +117,26 @@
     }
 }
 
+TEST_CASE("under overload those that can still meet their target go before those that cannot")
+{
+    ForwardFixture fixture;
+    fixture.addServer("engine-1", "engines", "a", 1);
+    Prompt prompt;
+    prompt.tokens = 200;
+    std::vector<RequestId> sent;
+    std::vector<RequestId> waiting;
+    for (int i = 0; i < 6; ++i)
+        waiting.push_back(fixture.call("/gate/question", "key", prompt));
+    const std::size_t running = fixture.all<StartForward>().size();
+    CHECK(running < 6);
+    fixture.pass(400ms);
+    const RequestId fresh = fixture.call("/gate/question", "key", prompt);
+    const AttemptId first = fixture.all<StartForward>().front().attempt;
+    fixture.system.onWritten(first);
+    fixture.answer(first, 200);
+    CHECK(fixture.last<StartForward>().request == fresh);
+}
+
 TEST_CASE("a request of which nothing was written goes to another server")
 {
     ForwardFixture fixture;
--- a/test/PeerCodecTest.cpp
+++ b/test/PeerCodecTest.cpp
@@ -85,6 +85,7 @@
                       4'000,
                       true,
                       true,
+                      300ms,
                       750ms,
                       { BackendServerId{ 17 }, BackendServerId{ 16 } } },
         PlacementGrant{ AttemptId{ 31 }, BackendServerId{ 17 }, 200, Incarnation{ 77 } },
@@ -201,6 +202,16 @@
     CHECK_FALSE(isProven(proof, secret, other, challenge, LinkSide::Dialer));
 }
 
+TEST_CASE("the largest value that the platform publishes fits into one message")
+{
+    constexpr std::size_t largestValue = 1024UL * 1024;
+    const PublishedNews news{ { PublishedItem{ "configuration", std::string(largestValue, 'x'), 7,
+                                               false } } };
+    const std::vector<std::uint8_t> bytes = encoded(PeerMessage(news));
+    CHECK_FALSE(isError(readFrameLength(std::span(bytes).first(framePrefixBytes))));
+    CHECK_FALSE(isError(decodeFrame(withoutPrefix(bytes))));
+}
+
 TEST_CASE("news of a host without work and without peers come back as they were")
 {
     FleetNews news;
--- a/test/PlacementLeasesTest.cpp
+++ b/test/PlacementLeasesTest.cpp
@@ -170,6 +170,27 @@
                     .server.isValid());
 }
 
+TEST_CASE("an engine gets no more to read than is read within the target, but for the top tier")
+{
+    OwnerFixture fixture(2);
+    std::uint64_t attempt = 0;
+    const auto place = [&](bool isUrgent) {
+        ++attempt;
+        PlacementAsk ask = askOf(attempt, promptOf(1'000 + attempt, 4'000, 4'000, attempt));
+        ask.isLongPrompt = true;
+        ask.isUrgent = isUrgent;
+        ask.target = 500ms;
+        return fixture.leases.ask(fixture.now, HostId{ attempt }, ask).server;
+    };
+    std::uint32_t placed = 0;
+    while (place(false).isValid() && placed < 100)
+        ++placed;
+    // Two engines read 75,000 tokens a second each: 75,000 together within the target.
+    CHECK(placed >= 4);
+    CHECK(placed * 8'000 <= 75'000);
+    CHECK(place(true).isValid());
+}
+
 TEST_CASE("a request goes where its owner says, and the owner hears how it ended")
 {
     OwnerFixture fixture;
