--- a/currantreel/src/Forward/ServerPlacement.cpp
+++ b/currantreel/src/Forward/ServerPlacement.cpp
@@ -35,7 +35,7 @@
 /// Prompt tokens that an engine reads in a second, and the part of a request's target in which they may
 /// be read: an engine with more before it would make this request late, and all that come after.
 constexpr double readTokensPerSecond = 75'000.0;
-constexpr double readShareOfTarget = 0.7;
+constexpr double readShareOfTarget = 1.5;
 
 /// Rank of @p server for @p subject; the highest one is preferred.
 std::uint64_t rendezvousRank(const ForwardServer &server, std::uint64_t subject)
