--- a/currantreel/src/Fleet/FleetSystem.cpp
+++ b/currantreel/src/Fleet/FleetSystem.cpp
@@ -147,8 +147,7 @@
     m_newsAt = now;
 }
 
-void FleetSystem::receive(TimePoint /*now*/, HostId from, const PublishedRequest &request,
-                          const PublishedState &state)
+void FleetSystem::receive(HostId from, const PublishedRequest &request, const PublishedState &state)
 {
     const Address address = addressOf(from);
     std::vector<PublishedItem> items = firstItems(state.changesAfter(request.revision));
@@ -156,11 +155,6 @@
         m_outgoing.push_back(FleetOutgoing{ from, address, PublishedNews{ std::move(items) } });
 }
 
-void FleetSystem::onItems(HostId /*from*/)
-{
-    m_fetchUntil = TimePoint();
-}
-
 bool FleetSystem::isPresent(const Host &host, TimePoint now) const
 {
     const Duration presence = presencePerHost * static_cast<Duration::rep>(m_hosts.size());
--- a/currantreel/src/Fleet/FleetSystem.h
+++ b/currantreel/src/Fleet/FleetSystem.h
@@ -33,8 +33,8 @@
 /// its heartbeat rises, and how far each has read what the platform publishes.
 ///
 /// Heartbeats travel from host to host, so that a few messages a second are enough for any number of
-/// hosts. Some hosts of a failure domain read the platform. News of a change travels at once to some hosts, which fetch it and
-/// tell others. Pure: time comes as an argument.
+/// hosts. Some hosts of a failure domain read the platform. News of a change travels at once to some
+/// hosts, which fetch it and tell others. Pure: time comes as an argument.
 class FleetSystem
 {
 public:
@@ -47,10 +47,9 @@
 
     void receive(TimePoint now, HostId from, const FleetNews &news);
     /// Answers with what @p state has above the revision that was asked for.
-    void receive(TimePoint now, HostId from, const PublishedRequest &request,
-                 const PublishedState &state);
-    /// Items of @p from were taken over.
-    void onItems(HostId from);
+    void receive(HostId from, const PublishedRequest &request, const PublishedState &state);
+    /// Items that were asked for arrived.
+    void onItems() { m_fetchUntil = TimePoint(); }
 
     /// Messages that are due.
     [[nodiscard]] std::vector<FleetOutgoing> run(TimePoint now, const FleetSelf &self,
--- a/currantreel/src/Shell/ForwardDaemon.cpp
+++ b/currantreel/src/Shell/ForwardDaemon.cpp
@@ -372,13 +372,13 @@
 
 void ForwardDaemon::receive(HostId from, const PublishedRequest &request)
 {
-    m_fleet.receive(steadyNow(), from, request, m_published);
+    m_fleet.receive(from, request, m_published);
     sendFleet(steadyNow());
 }
 
-void ForwardDaemon::receive(HostId from, const PublishedNews &news)
+void ForwardDaemon::receive(HostId /*from*/, const PublishedNews &news)
 {
-    m_fleet.onItems(from);
+    m_fleet.onItems();
     apply(steadyNow(), m_published.apply(steadyNow(), news.items));
     sendFleet(steadyNow());
 }
--- a/currantreel/src/Shell/ForwardOperators.cpp
+++ b/currantreel/src/Shell/ForwardOperators.cpp
@@ -91,6 +91,9 @@
     counter("currantreel_callers_left_total", counters.callersLeft);
     counter("currantreel_attempts_total", counters.attempts);
     counter("currantreel_retries_total", counters.repeats);
+    counter("currantreel_owner_asks_total", counters.asked);
+    counter("currantreel_owner_asks_full_total", counters.full);
+    counter("currantreel_owner_asks_unanswered_total", counters.ownersSilent);
     counter("currantreel_streams_resumed_total", counters.resumed);
     counter("currantreel_replies_broken_off_total", counters.broken);
     text += "# TYPE currantreel_refused_total counter\n";
--- a/test/PublishedStateTest.cpp
+++ b/test/PublishedStateTest.cpp
@@ -97,6 +97,52 @@
     CHECK(fixture.state.size() == 2);
 }
 
+TEST_CASE(
+    "a reader that leaves the reading to others asks nothing, and goes on from what they told")
+{
+    ReaderFixture fixture;
+    fixture.readAll({ item("a", 1) }, 10);
+    fixture.reader.setWatching(start, false);
+    const std::size_t calls = fixture.source.calls.size();
+    fixture.reader.onChanges(start, PublishedChanges{ {}, 11 });
+    fixture.reader.run(start + 1s);
+    CHECK(fixture.source.calls.size() == calls);
+    CHECK_FALSE(fixture.reader.isReading());
+    fixture.state.apply(start + 1s, { item("a", 14) });
+    fixture.reader.setWatching(start + 2s, true);
+    fixture.reader.run(start + 2s);
+    CHECK(fixture.source.calls.back() == "watch 14");
+}
+
+TEST_CASE("changes in a row come with few calls")
+{
+    ReaderFixture fixture;
+    fixture.readAll({ item("a", 1) }, 10);
+    const std::size_t calls = fixture.source.calls.size();
+    std::uint64_t revision = 10;
+    for (TimePoint now = start + 10s; now < start + 11s; now += 10ms) {
+        if (fixture.source.calls.size() > calls + (revision - 10)) {
+            ++revision;
+            fixture.reader.onChanges(now, PublishedChanges{ { item("a", revision) }, revision });
+        }
+        fixture.reader.run(now);
+    }
+    CHECK(fixture.source.calls.size() - calls <= 8);
+}
+
+TEST_CASE("a removal that waits is told to other hosts only once it counts here")
+{
+    PublishedState state;
+    state.apply(start, { item("a", 1), item("b", 2) });
+    state.holdRemovals(start + 2s);
+    state.apply(start, { item("a", 3, true), item("c", 4) });
+    CHECK(state.sharedRevision() == 2);
+    CHECK(state.changesAfter(2).empty());
+    state.takeDueRemovals(start + 3s);
+    CHECK(state.sharedRevision() == 4);
+    CHECK(state.changesAfter(2).size() == 2);
+}
+
 TEST_CASE("a reader whose history is lost reads everything again")
 {
     ReaderFixture fixture;
