--- a/test/FleetSystemTest.cpp
+++ b/test/FleetSystemTest.cpp
@@ -218,7 +218,7 @@
     hosts.systems[2]->setSeeds({ hosts.addresses[0] });
     hosts.pass(4s);
     const HostId restarted = FleetSystem::idOf(hosts.addresses[2]);
-    for (const std::size_t i : { 0, 1, 3 })
+    for (const std::size_t i : { std::size_t{ 0 }, std::size_t{ 1 }, std::size_t{ 3 } })
         CHECK(hosts.systems[i]->isPresent(hosts.now, restarted));
 }
 
