--- a/currantreel/src/Fleet/FleetSystem.cpp
+++ b/currantreel/src/Fleet/FleetSystem.cpp
@@ -200,13 +200,9 @@
 FleetNews FleetSystem::newsOf(const PublishedState &state) const
 {
     FleetNews news;
+    news.sender = m_told;
     news.sender.peers = m_self;
-    news.sender.failureDomain = m_told.failureDomain;
     news.sender.heartbeat = m_heartbeat;
-    news.sender.weight = m_told.weight;
-    news.sender.isLeaving = m_told.isLeaving;
-    news.sender.readsPlatform = m_told.readsPlatform;
-    news.sender.canOwn = m_told.canOwn;
     news.revision = state.sharedRevision();
     return news;
 }
@@ -270,7 +266,7 @@
         FleetOutgoing{ chosen, m_hosts[chosen].known.peers, PublishedRequest{ state.revision() } });
 }
 
-std::vector<FleetOutgoing> FleetSystem::run(TimePoint now, const FleetSelf &self,
+std::vector<FleetOutgoing> FleetSystem::run(TimePoint now, const FleetHost &self,
                                             const PublishedState &state)
 {
     m_told = self;
--- a/currantreel/src/Fleet/FleetSystem.h
+++ b/currantreel/src/Fleet/FleetSystem.h
@@ -19,16 +19,6 @@
     std::variant<FleetNews, PublishedRequest, PublishedNews> message;
 };
 
-/// What this host tells of itself.
-struct FleetSelf
-{
-    FailureDomainId failureDomain;
-    std::uint8_t weight = 1;
-    bool readsPlatform = false;
-    bool isLeaving = false;
-    bool canOwn = false;
-};
-
 /// The other hosts as this one knows them: found through seeds and through each other, each alive while
 /// its heartbeat rises, and how far each has read what the platform publishes.
 ///
@@ -52,7 +42,7 @@
     void onItems() { m_fetchUntil = TimePoint(); }
 
     /// Messages that are due.
-    [[nodiscard]] std::vector<FleetOutgoing> run(TimePoint now, const FleetSelf &self,
+    [[nodiscard]] std::vector<FleetOutgoing> run(TimePoint now, const FleetHost &self,
                                                  const PublishedState &state);
 
     /// Whether this host has to read the platform itself: few hosts of its failure domain do, or it
@@ -108,7 +98,7 @@
 
     Address m_self;
     HostId m_id;
-    FleetSelf m_told; ///< What this host tells of itself.
+    FleetHost m_told; ///< What this host tells of itself.
     std::uint64_t m_heartbeat;
     mutable std::mt19937_64 m_random;
     std::map<HostId, Host> m_hosts;
--- a/currantreel/src/Forward/EngineGroups.cpp
+++ b/currantreel/src/Forward/EngineGroups.cpp
@@ -10,10 +10,6 @@
 /// Time in which the memory of earlier work falls to 1/e.
 constexpr double memorySeconds = 12.0;
 constexpr double newestWeight = 0.05;
-/// Prompt tokens that an engine reads in a second.
-constexpr double tokensPerSecond = 75'000.0;
-/// Weight of the reading against the running of streams: reading comes in bursts and needs more room.
-constexpr double readingWeight = 1.0;
 /// Bounds on the share of the engines for long prompts.
 constexpr double smallestShare = 0.3;
 constexpr double largestShare = 0.75;
@@ -71,7 +67,7 @@
     const double runSeconds = work.runSeconds.value(now);
     if (engines < 2 || readTokens <= 0.0 || runSeconds <= 0.0)
         return 0;
-    const double reading = readingWeight * readTokens / tokensPerSecond;
+    const double reading = readTokens / readTokensPerSecond;
     const double running = runSeconds / std::max<double>(slots, 1.0);
     if (reading + running >= enoughWork) {
         const double share = std::clamp(reading / (reading + running), smallestShare, largestShare);
--- a/currantreel/src/Forward/EngineGroups.h
+++ b/currantreel/src/Forward/EngineGroups.h
@@ -29,6 +29,9 @@
     /// Average prompt above which a route's requests count as long, in tokens.
     static constexpr double longPromptTokens = 2'000.0;
 
+    /// Prompt tokens that an engine is taken to read in a second.
+    static constexpr double readTokensPerSecond = 75'000.0;
+
     /// A request of @p route came with a prompt of @p tokens.
     void countPrompt(RouteId route, std::uint32_t tokens);
 
--- a/currantreel/src/Forward/ForwardAttempts.cpp
+++ b/currantreel/src/Forward/ForwardAttempts.cpp
@@ -52,7 +52,7 @@
     if (call.unread > 0)
         tell(call, PlacementProgress::Read);
     if (ForwardServer *server = m_directory.find(call.server))
-        server->own.unreadTokens -= std::min<std::uint64_t>(call.unread, server->own.unreadTokens);
+        server->own.finishReading(call.unread);
     call.unread = 0;
 }
 
@@ -61,12 +61,8 @@
     tell(call, call.progress);
     call.owner = {};
     settleRead(call);
-    ForwardServer *server = m_directory.find(call.server);
-    if (!server)
-        return;
-    const std::uint64_t held = call.prompt.tokens + call.prompt.mostAnswerTokens;
-    server->own.heldTokens -= std::min(held, server->own.heldTokens);
-    server->own.requests -= std::min(1U, server->own.requests);
+    if (ForwardServer *server = m_directory.find(call.server))
+        server->own.finish(call.prompt.heldTokens());
 }
 
 void ForwardSystem::dropAttempt(Call &call)
@@ -144,8 +140,7 @@
 
 void ForwardSystem::judgeServer(TimePoint now, Call &call, const AnswerStatus &answer)
 {
-    const bool isMisdirected = answer.status == detail::statusMisdirected;
-    if (isMisdirected)
+    if (answer.status == detail::statusMisdirected)
         call.progress = PlacementProgress::Unreachable;
     else if (!isNotRun(answer))
         call.progress =
@@ -154,12 +149,7 @@
     if (!server)
         return;
     m_directory.noteAnswer(*server);
-    if (isMisdirected)
-        server->health.unreachable(now);
-    else if (isFailure(answer) && !isNotRun(answer))
-        server->health.failed(now);
-    else if (!isNotRun(answer))
-        server->health.succeeded();
+    server->health.judge(now, call.progress);
 }
 
 void ForwardSystem::onAnswer(TimePoint now, AttemptId attempt, const AnswerStatus &answer)
--- a/currantreel/src/Forward/ForwardMessages.h
+++ b/currantreel/src/Forward/ForwardMessages.h
@@ -53,7 +53,6 @@
     std::uint8_t priority = 0; ///< For the engine's queue, 0 goes first.
     bool hasPriority = false;
     bool isRepeatable = false; ///< May go over a connection that was used before.
-    bool isStream = false;
 };
 
 /// Stop an attempt and close its connection.
--- a/currantreel/src/Forward/ForwardOwners.cpp
+++ b/currantreel/src/Forward/ForwardOwners.cpp
@@ -155,9 +155,8 @@
         if (!isAtServer || !call.attempt.isValid() || call.service != service || call.part != part)
             continue;
         call.owner = owner;
-        held.placements.push_back({ call.attempt, call.server, call.unread,
-                                    call.prompt.tokens + call.prompt.mostAnswerTokens,
-                                    call.endAt - now });
+        held.placements.push_back(
+            { call.attempt, call.server, call.unread, call.prompt.heldTokens(), call.endAt - now });
     }
     m_effects.emplace_back(TellOwner{ owner, std::move(held) });
 }
--- a/currantreel/src/Forward/ForwardSystem.cpp
+++ b/currantreel/src/Forward/ForwardSystem.cpp
@@ -188,8 +188,7 @@
     ForwardServer *server = chooseServer(m_directory, m_groups, placementOf(call), now);
     if (!server)
         return false;
-    const std::uint32_t kept = server->cache.keptTokens(call.prompt);
-    call.unread = call.prompt.tokens > kept ? call.prompt.tokens - kept : 0;
+    call.unread = server->cache.unreadTokens(call.prompt);
     if (call.isLongPrompt)
         m_groups.countReading(call.service, now, call.unread);
     send(now, call, *server, drawAttempt());
@@ -216,9 +215,7 @@
     call.isWritten = false;
     call.tried.push_back(server.id);
     server.cache.remember(call.prompt);
-    server.own.requests += 1;
-    server.own.unreadTokens += call.unread;
-    server.own.heldTokens += call.prompt.tokens + call.prompt.mostAnswerTokens;
+    server.own.start(call.unread, call.prompt.heldTokens());
     m_attempts[call.attempt] = call.id;
 
     StartForward start;
@@ -231,7 +228,6 @@
     start.priority = static_cast<std::uint8_t>(std::min(call.rank, lowestEnginePriority));
     start.hasPriority = server.memoryTokens > 0;
     start.isRepeatable = call.route->repeat == RepeatRule::Idempotent || call.route->isResumable;
-    start.isStream = call.route->isStream;
     m_effects.emplace_back(std::move(start));
 }
 
--- a/currantreel/src/Forward/PlacementLeases.cpp
+++ b/currantreel/src/Forward/PlacementLeases.cpp
@@ -1,7 +1,5 @@
 #include "PlacementLeases.h"
 
-#include <algorithm>
-
 namespace currantreel {
 
 namespace {
@@ -11,12 +9,6 @@
 /// Time beyond a request's own in which word of its end may still come.
 constexpr Duration leaseReserve = 1s;
 
-template <typename Number>
-void subtract(Number &from, Number amount)
-{
-    from -= std::min(from, amount);
-}
-
 } // namespace
 
 PlacementLeases::PlacementLeases(ServerDirectory &directory, EngineGroups &groups,
@@ -44,13 +36,12 @@
     ForwardServer *server = chooseServer(*m_directory, *m_groups, request, now);
     if (!server)
         return grant;
-    const std::uint32_t kept = server->cache.keptTokens(ask.prompt);
     Lease lease;
     lease.service = ask.service;
     lease.part = ask.part;
     lease.server = server->id;
-    lease.unread = ask.prompt.tokens - std::min(kept, ask.prompt.tokens);
-    lease.held = ask.prompt.tokens + ask.prompt.mostAnswerTokens;
+    lease.unread = server->cache.unreadTokens(ask.prompt);
+    lease.held = ask.prompt.heldTokens();
     lease.isStreamOfShortPrompt = !ask.isLongPrompt;
     lease.grantedAt = now;
     lease.expiresAt = now + ask.timeLeft + leaseReserve;
@@ -67,44 +58,26 @@
 {
     if (const auto known = m_leases.find(id); known != m_leases.end())
         remove(known);
-    if (ForwardServer *server = m_directory->find(lease.server)) {
-        server->others.requests += 1;
-        server->others.unreadTokens += lease.unread;
-        server->others.heldTokens += lease.held;
-    }
+    if (ForwardServer *server = m_directory->find(lease.server))
+        server->others.start(lease.unread, lease.held);
     m_leases.emplace(id, lease);
 }
 
 void PlacementLeases::settleRead(Lease &lease)
 {
     if (ForwardServer *server = m_directory->find(lease.server))
-        subtract<std::uint64_t>(server->others.unreadTokens, lease.unread);
+        server->others.finishReading(lease.unread);
     lease.unread = 0;
 }
 
 PlacementLeases::Leases::iterator PlacementLeases::remove(Leases::iterator lease)
 {
     settleRead(lease->second);
-    if (ForwardServer *server = m_directory->find(lease->second.server)) {
-        subtract<std::uint32_t>(server->others.requests, 1);
-        subtract<std::uint64_t>(server->others.heldTokens, lease->second.held);
-    }
+    if (ForwardServer *server = m_directory->find(lease->second.server))
+        server->others.finish(lease->second.held);
     return m_leases.erase(lease);
 }
 
-void PlacementLeases::judge(TimePoint now, const Lease &lease, PlacementProgress progress)
-{
-    ForwardServer *server = m_directory->find(lease.server);
-    if (!server)
-        return;
-    if (progress == PlacementProgress::Succeeded)
-        server->health.succeeded();
-    else if (progress == PlacementProgress::Failed)
-        server->health.failed(now);
-    else if (progress == PlacementProgress::Unreachable)
-        server->health.unreachable(now);
-}
-
 void PlacementLeases::receive(TimePoint now, HostId from, const PlacementNotes &notes)
 {
     for (const PlacementNote &note : notes.notes) {
@@ -116,7 +89,8 @@
             settleRead(lease);
             continue;
         }
-        judge(now, lease, note.progress);
+        if (ForwardServer *server = m_directory->find(lease.server))
+            server->health.judge(now, note.progress);
         if (note.progress == PlacementProgress::Succeeded && lease.isStreamOfShortPrompt)
             m_groups->countRunning(lease.service, now, now - lease.grantedAt);
         remove(found);
--- a/currantreel/src/Forward/PlacementLeases.h
+++ b/currantreel/src/Forward/PlacementLeases.h
@@ -52,7 +52,6 @@
     void add(std::pair<HostId, AttemptId> id, const Lease &lease);
     void settleRead(Lease &lease);
     Leases::iterator remove(Leases::iterator lease);
-    void judge(TimePoint now, const Lease &lease, PlacementProgress progress);
 
     ServerDirectory *m_directory;
     EngineGroups *m_groups;
--- a/currantreel/src/Forward/Prompt.h
+++ b/currantreel/src/Forward/Prompt.h
@@ -21,6 +21,9 @@
     std::uint32_t tokens = 0; ///< The whole prompt.
     std::uint32_t mostAnswerTokens = 0;
 
+    /// Tokens that the request needs in an engine's memory until it ends.
+    [[nodiscard]] std::uint32_t heldTokens() const { return tokens + mostAnswerTokens; }
+
     /// Part that marks the subject or session: the last one that other requests share; 0 if none.
     [[nodiscard]] std::uint64_t subject() const
     {
--- a/currantreel/src/Forward/PromptCache.cpp
+++ b/currantreel/src/Forward/PromptCache.cpp
@@ -1,5 +1,7 @@
 #include "PromptCache.h"
 
+#include <algorithm>
+
 namespace currantreel {
 
 std::uint32_t PromptCache::keptTokens(const Prompt &prompt) const
@@ -13,6 +15,11 @@
     return kept;
 }
 
+std::uint32_t PromptCache::unreadTokens(const Prompt &prompt) const
+{
+    return prompt.tokens - std::min(keptTokens(prompt), prompt.tokens);
+}
+
 void PromptCache::remember(const Prompt &prompt)
 {
     for (const PromptPart &part : prompt.parts) {
--- a/currantreel/src/Forward/PromptCache.h
+++ b/currantreel/src/Forward/PromptCache.h
@@ -22,6 +22,9 @@
     /// it are kept.
     [[nodiscard]] std::uint32_t keptTokens(const Prompt &prompt) const;
 
+    /// Tokens of @p prompt that have to be read; never below zero, whatever the sizes of its parts.
+    [[nodiscard]] std::uint32_t unreadTokens(const Prompt &prompt) const;
+
     /// The engine reads @p prompt.
     void remember(const Prompt &prompt);
 
--- a/currantreel/src/Forward/ServerHealth.cpp
+++ b/currantreel/src/Forward/ServerHealth.cpp
@@ -38,6 +38,16 @@
     avoid(now);
 }
 
+void ServerHealth::judge(TimePoint now, PlacementProgress progress)
+{
+    if (progress == PlacementProgress::Succeeded)
+        succeeded();
+    else if (progress == PlacementProgress::Failed)
+        failed(now);
+    else if (progress == PlacementProgress::Unreachable)
+        unreachable(now);
+}
+
 void ServerHealth::avoid(TimePoint now)
 {
     m_backoff = std::clamp(m_backoff * 2, shortestBackoff, longestBackoff);
--- a/currantreel/src/Forward/ServerHealth.h
+++ b/currantreel/src/Forward/ServerHealth.h
@@ -2,6 +2,7 @@
 #define CURRANTREEL_FORWARD_SERVERHEALTH_H
 
 #include "../Core/Time.h"
+#include "PlacementMessages.h"
 #include <cstdint>
 
 namespace currantreel {
@@ -20,6 +21,9 @@
     /// No connection could be made. The server is avoided for a time that doubles with each failure.
     void unreachable(TimePoint now);
 
+    /// Takes over what @p progress says of the server, if anything.
+    void judge(TimePoint now, PlacementProgress progress);
+
     /// Whether the server is to be avoided while others can take the request.
     [[nodiscard]] bool isAvoided(TimePoint now) const { return now < m_avoidedUntil; }
 
--- a/currantreel/src/Forward/ServerPlacement.cpp
+++ b/currantreel/src/Forward/ServerPlacement.cpp
@@ -32,9 +32,8 @@
 constexpr double harmlessUnreadTokens = 12'000.0;
 constexpr double tokensPerHarm = 80'000.0;
 
-/// Prompt tokens that an engine reads in a second, and the part of a request's target in which they may
-/// be read: an engine with more before it would make this request late, and all that come after.
-constexpr double readTokensPerSecond = 75'000.0;
+/// Targets of a request in which an engine may read all that it has to read: with more it would make
+/// this request late, and all that come after.
 constexpr double readShareOfTarget = 1.5;
 
 /// Rank of @p server for @p subject; the highest one is preferred.
@@ -72,18 +71,18 @@
     return best;
 }
 
-bool hasRoom(const ForwardServer &server, const PlacementRequest &request)
+/// @param unread tokens of the request that the server has to read.
+bool hasRoom(const ForwardServer &server, const PlacementRequest &request, double unread)
 {
     const ServerLoad load = server.load();
     if (load.requests >= server.mostRequests)
         return false;
     if (server.memoryTokens == 0 || request.isUrgent || !request.prompt)
         return true;
-    const double own = request.prompt->tokens - server.cache.keptTokens(*request.prompt);
-    const double mostUnread = readTokensPerSecond * readShareOfTarget
+    const double mostUnread = EngineGroups::readTokensPerSecond * readShareOfTarget
                               * std::chrono::duration<double>(request.target).count();
     const bool isBacklogged =
-        load.unreadTokens > 0 && static_cast<double>(load.unreadTokens) + own > mostUnread;
+        load.unreadTokens > 0 && static_cast<double>(load.unreadTokens) + unread > mostUnread;
     if (mostUnread > 0.0 && isBacklogged)
         return false;
     const double needed = static_cast<double>(load.heldTokens) + request.prompt->tokens;
@@ -91,18 +90,14 @@
            || needed <= lowerTierMemoryShare * static_cast<double>(server.memoryTokens);
 }
 
-double unreadTokens(const ForwardServer &server, const PlacementRequest &request,
-                    const ForwardServer *preferred)
+/// Tokens that the preferred server is taken to have to read at most, though it may have been sent
+/// nothing of the subject yet.
+double mostUnreadAtPreferred(const Prompt &prompt)
 {
-    if (!request.prompt)
-        return 0.0;
-    const double whole = request.prompt->tokens;
-    double kept = server.cache.keptTokens(*request.prompt);
-    if (&server == preferred && request.prompt->parts.size() > 1) {
-        const double own = request.prompt->parts.back().tokens;
-        kept = std::max(kept, assumedKeptShare * (whole - own));
-    }
-    return std::max(whole - kept, 0.0);
+    const double whole = prompt.tokens;
+    if (prompt.parts.size() <= 1)
+        return whole;
+    return whole - assumedKeptShare * (whole - prompt.parts.back().tokens);
 }
 
 /// What is the same for all servers in one choice.
@@ -122,11 +117,13 @@
     return backlog <= harmlessUnreadTokens ? tokensPerLongAmongShort : tokensPerHarm;
 }
 
-double costOf(const ForwardServer &server, bool isInGroup, const Choice &choice)
+double costOf(const ForwardServer &server, double unread, bool isInGroup, const Choice &choice)
 {
     const PlacementRequest &request = *choice.request;
     const ServerLoad load = server.load();
-    const double own = unreadTokens(server, request, choice.preferred);
+    const double own = &server == choice.preferred
+                           ? std::min(unread, mostUnreadAtPreferred(*request.prompt))
+                           : unread;
     const double backlog = static_cast<double>(load.unreadTokens) + own;
     double cost = static_cast<double>(load.unreadTokens) + ownReadingWeight * own;
     cost += groupCost(backlog, isInGroup, request);
@@ -155,17 +152,18 @@
     ForwardServer *best = nullptr;
     double bestCost = 0.0;
     int bestRank = 0;
+    const auto groupBegin = static_cast<std::size_t>(group.data() - servers.data());
     for (std::size_t i = 0; i < servers.size(); ++i) {
         ForwardServer *server = servers[i];
-        if (!hasRoom(*server, request))
+        const double unread = request.prompt ? server->cache.unreadTokens(*request.prompt) : 0.0;
+        if (!hasRoom(*server, request, unread))
             continue;
         const bool isTried = std::find(request.tried.begin(), request.tried.end(), server->id)
                              != request.tried.end();
         // Servers that failed this request come last, avoided ones before them.
         const int rank = isTried ? 2 : (directory.isAvoided(*server, now) ? 1 : 0);
-        const auto groupBegin = static_cast<std::size_t>(group.data() - servers.data());
         const bool isInGroup = i >= groupBegin && i < groupBegin + group.size();
-        const double cost = costOf(*server, isInGroup, choice);
+        const double cost = costOf(*server, unread, isInGroup, choice);
         if (!best || rank < bestRank || (rank == bestRank && cost < bestCost)) {
             best = server;
             bestCost = cost;
--- a/currantreel/src/Shell/CallerFront.cpp
+++ b/currantreel/src/Shell/CallerFront.cpp
@@ -361,11 +361,8 @@
     }
     if (evbuffer_get_length(body) == 0)
         return;
-    evhttp_send_reply_chunk_with_cb(exchange.request, body, &CallerFront::onReplyDrained,
-                                    &exchange);
-    bufferevent *stream =
-        evhttp_connection_get_bufferevent(evhttp_request_get_connection(exchange.request));
-    const std::size_t unsent = evbuffer_get_length(bufferevent_get_output(stream));
+    const std::size_t unsent =
+        sendChunk(exchange.request, body, &CallerFront::onReplyDrained, &exchange);
     if (unsent > m_settings->limits.streamBufferBytes && !exchange.isPaused) {
         exchange.isPaused = true;
         attempt.outgoing->setReading(false);
--- a/currantreel/src/Shell/ForwardDaemon.cpp
+++ b/currantreel/src/Shell/ForwardDaemon.cpp
@@ -1,9 +1,9 @@
 #include "ForwardDaemon.h"
 
 #include "../Settings/CheckedTable.h"
+#include "DecisionLog.h"
 #include "SteadyNow.h"
 #include <csignal>
-#include <fmt/format.h>
 #include <random>
 #include <xxhash.h>
 
@@ -61,32 +61,6 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
 }
 
-std::string hexOf(HostId host)
-{
-    return fmt::format("{:x}", host.value);
-}
-
-std::string_view nameOf(DecisionKind kind)
-{
-    switch (kind) {
-    case DecisionKind::Chosen:
-        return "server_chosen";
-    case DecisionKind::Queued:
-        return "request_queued";
-    case DecisionKind::Refused:
-        return "request_refused";
-    case DecisionKind::Retried:
-        return "request_retried";
-    case DecisionKind::Resumed:
-        return "stream_resumed";
-    case DecisionKind::Ended:
-        return "request_ended";
-    case DecisionKind::Broken:
-        return "reply_broken_off";
-    }
-    return "request_ended";
-}
-
 std::uint64_t hashOfFile(const std::string &path)
 {
     FaultList faults;
@@ -424,9 +398,9 @@
     m_log.write("owner_silent", { { "host", hexOf(silent.owner) } });
 }
 
-FleetSelf ForwardDaemon::describeSelf() const
+FleetHost ForwardDaemon::describeSelf() const
 {
-    FleetSelf self;
+    FleetHost self;
     self.failureDomain = FailureDomainId::ofName(m_settings.failureDomain);
     self.weight = weightOf(m_settings.forward->processorShare);
     self.readsPlatform = m_isStoreReachable && m_reader.isReading();
@@ -485,47 +459,7 @@
 
 void ForwardDaemon::handle(const DecisionNote &note)
 {
-    const auto milliseconds = [](Duration time) { return std::to_string(toMilliseconds(time)); };
-    switch (note.kind) {
-    case DecisionKind::Chosen:
-    case DecisionKind::Queued:
-        m_log.write(nameOf(note.kind),
-                    { { "request", note.callerId },
-                      { "route", note.route },
-                      { "server", note.instance },
-                      { "chosen_by", note.owner.isValid() ? hexOf(note.owner) : "self" },
-                      { "load", std::to_string(note.load) },
-                      { "prompt_tokens", std::to_string(note.promptTokens) },
-                      { "unread_tokens", std::to_string(note.unread) },
-                      { "waiting", std::to_string(note.waiting) },
-                      { "version", std::to_string(note.version) },
-                      { "age_ms", milliseconds(note.age) } });
-        break;
-    case DecisionKind::Ended:
-    case DecisionKind::Retried:
-    case DecisionKind::Resumed:
-        m_log.write(nameOf(note.kind), { { "request", note.callerId },
-                                         { "route", note.route },
-                                         { "server", note.instance },
-                                         { "status", std::to_string(note.status) },
-                                         { "outcome", std::string(name(note.outcome)) },
-                                         { "age_ms", milliseconds(note.age) },
-                                         { "first_event_ms", milliseconds(note.firstEvent) },
-                                         { "longest_pause_ms", milliseconds(note.longestPause) } });
-        break;
-    case DecisionKind::Refused:
-    case DecisionKind::Broken:
-        m_log.write(nameOf(note.kind), { { "request", note.callerId },
-                                         { "route", note.route },
-                                         { "server", note.instance },
-                                         { "code", std::to_string(number(note.code)) },
-                                         { "name", std::string(info(note.code).name) },
-                                         { "outcome", std::string(name(note.outcome)) },
-                                         { "waiting", std::to_string(note.waiting) },
-                                         { "version", std::to_string(note.version) },
-                                         { "age_ms", milliseconds(note.age) } });
-        break;
-    }
+    writeDecision(m_log, note);
 }
 
 } // namespace currantreel
--- a/currantreel/src/Shell/ForwardDaemon.h
+++ b/currantreel/src/Shell/ForwardDaemon.h
@@ -56,7 +56,7 @@
     }
     void runFleet(TimePoint now);
     void sendFleet(TimePoint now);
-    [[nodiscard]] FleetSelf describeSelf() const;
+    [[nodiscard]] FleetHost describeSelf() const;
     void onStoreFailed(ReadFailure failure, const std::string &detail);
     void setStoreReachable(bool isReachable, const std::string &detail);
     void handle(const DecisionNote &note);
--- a/currantreel/src/Shell/ForwardReplies.cpp
+++ b/currantreel/src/Shell/ForwardReplies.cpp
@@ -45,11 +45,8 @@
     exchange.lastEventId = attempt.events.lastId();
     const BufferHandle chunk = makeBuffer();
     evbuffer_add(chunk.get(), events.data(), events.size());
-    evhttp_send_reply_chunk_with_cb(exchange.request, chunk.get(), &ForwardFront::onReplyDrained,
-                                    &exchange);
-    bufferevent *stream =
-        evhttp_connection_get_bufferevent(evhttp_request_get_connection(exchange.request));
-    const std::size_t unsent = evbuffer_get_length(bufferevent_get_output(stream));
+    const std::size_t unsent =
+        sendChunk(exchange.request, chunk.get(), &ForwardFront::onReplyDrained, &exchange);
     if (unsent > m_settings->limits.streamBufferBytes && !exchange.isPaused) {
         exchange.isPaused = true;
         attempt.outgoing->setReading(false);
--- a/currantreel/src/Shell/HttpReply.cpp
+++ b/currantreel/src/Shell/HttpReply.cpp
@@ -56,6 +56,14 @@
               errorBody(code, outcome, retryAfter, detail));
 }
 
+std::size_t sendChunk(evhttp_request *request, evbuffer *chunk,
+                      void (*onSent)(evhttp_connection *, void *), void *argument)
+{
+    evhttp_send_reply_chunk_with_cb(request, chunk, onSent, argument);
+    bufferevent *stream = evhttp_connection_get_bufferevent(evhttp_request_get_connection(request));
+    return evbuffer_get_length(bufferevent_get_output(stream));
+}
+
 std::string headerOf(evhttp_request *request, const char *name)
 {
     const char *value = evhttp_find_header(evhttp_request_get_input_headers(request), name);
--- a/currantreel/src/Shell/HttpReply.h
+++ b/currantreel/src/Shell/HttpReply.h
@@ -25,6 +25,11 @@
 void sendError(evhttp_request *request, ResultCode code, Outcome outcome, Duration retryAfter,
                std::string_view detail = "");
 
+/// Sends @p chunk of a reply that has begun. @param onSent called once it is written.
+/// @return bytes of the connection that wait to be written.
+std::size_t sendChunk(evhttp_request *request, evbuffer *chunk,
+                      void (*onSent)(evhttp_connection *, void *), void *argument);
+
 /// Value of the request's header @p name, or an empty string.
 [[nodiscard]] std::string headerOf(evhttp_request *request, const char *name);
 
--- a/test/FleetSystemTest.cpp
+++ b/test/FleetSystemTest.cpp
@@ -43,7 +43,7 @@
     std::vector<Address> addresses;
     std::vector<std::unique_ptr<FleetSystem>> systems;
     std::vector<PublishedState> states;
-    std::vector<FleetSelf> selves;
+    std::vector<FleetHost> selves;
     std::vector<bool> isCut;
     TimePoint now{ 1h };
     std::size_t bytes = 0; ///< Of all messages, as frames.
@@ -116,7 +116,7 @@
 TEST_CASE("a host whose connection to the platform went silent gets changes from the others")
 {
     Hosts hosts(4);
-    for (FleetSelf &self : hosts.selves)
+    for (FleetHost &self : hosts.selves)
         self.readsPlatform = true;
     for (PublishedState &state : hosts.states)
         state.apply(hosts.now, { PublishedItem{ "server", "ready", 6, false } });
--- a/test/ForwardFixture.h
+++ b/test/ForwardFixture.h
@@ -12,6 +12,17 @@
 using namespace currantreel;
 using namespace std::chrono_literals;
 
+/// A prompt of @p shared tokens about @p subject and @p own tokens of its own.
+inline Prompt promptOf(std::uint64_t subject, std::uint32_t shared, std::uint32_t own,
+                       std::uint64_t id)
+{
+    Prompt prompt;
+    prompt.parts = { PromptPart{ subject, shared }, PromptPart{ id, own } };
+    prompt.tokens = shared + own;
+    prompt.mostAnswerTokens = 50;
+    return prompt;
+}
+
 /// A forward system in virtual time, with engines and a plain service, and what it was told to do.
 class ForwardFixture
 {
--- a/test/PlacementLeasesTest.cpp
+++ b/test/PlacementLeasesTest.cpp
@@ -11,15 +11,6 @@
 const HostId owner = HostId::ofName("owner");
 const ServiceId engines = ServiceId::ofName("engines");
 
-Prompt promptOf(std::uint64_t subject, std::uint32_t shared, std::uint32_t own, std::uint64_t id)
-{
-    Prompt prompt;
-    prompt.parts = { PromptPart{ subject, shared }, PromptPart{ id, own } };
-    prompt.tokens = shared + own;
-    prompt.mostAnswerTokens = 50;
-    return prompt;
-}
-
 PlacementAsk askOf(std::uint64_t attempt, Prompt prompt)
 {
     PlacementAsk ask;
--- a/test/ServerPlacementTest.cpp
+++ b/test/ServerPlacementTest.cpp
@@ -5,19 +5,6 @@
 
 using namespace test;
 
-namespace {
-
-Prompt promptOf(std::uint64_t subject, std::uint32_t shared, std::uint32_t own, std::uint64_t id)
-{
-    Prompt prompt;
-    prompt.parts = { PromptPart{ subject, shared }, PromptPart{ id, own } };
-    prompt.tokens = shared + own;
-    prompt.mostAnswerTokens = 50;
-    return prompt;
-}
-
-} // namespace
-
 TEST_CASE("requests about one subject meet at one engine, from every host")
 {
     std::map<std::uint64_t, std::set<std::string>> engines;
@@ -119,6 +106,21 @@
     CHECK(cache.keptTokens(other) == 600);
 }
 
+TEST_CASE("a prompt whose parts are larger than it says has nothing to read, and finds room")
+{
+    PromptCache cache(10'000);
+    Prompt prompt = promptOf(1, 300, 300, 2);
+    cache.remember(prompt);
+    prompt.tokens = 500;
+    CHECK(cache.unreadTokens(prompt) == 0);
+
+    ForwardFixture fixture;
+    fixture.addServer("engine-1", "engines");
+    fixture.call("/summary/lot", "key", promptOf(1, 300, 300, 2));
+    fixture.call("/summary/lot", "key", prompt);
+    CHECK(fixture.all<StartForward>().size() == 2);
+}
+
 TEST_CASE("a new run of a server has nothing in memory")
 {
     ForwardFixture fixture;
