--- a/currantreel/src/Fleet/FleetSystem.cpp
+++ b/currantreel/src/Fleet/FleetSystem.cpp
@@ -330,15 +330,16 @@
     return best;
 }
 
-void FleetSystem::passOver(TimePoint now, HostId host)
+bool FleetSystem::passOver(TimePoint now, HostId host)
 {
     const auto found = m_hosts.find(host);
-    if (found == m_hosts.end())
-        return;
+    if (found == m_hosts.end() || now < found->second.passedOverUntil)
+        return false;
     Host &silent = found->second;
     silent.passedOverFor =
         std::clamp(silent.passedOverFor * 2, shortestPassedOver, longestPassedOver);
     silent.passedOverUntil = now + silent.passedOverFor;
+    return true;
 }
 
 Address FleetSystem::addressOf(HostId host) const
--- a/currantreel/src/Fleet/FleetSystem.h
+++ b/currantreel/src/Fleet/FleetSystem.h
@@ -53,7 +53,8 @@
     /// hosts that know the same others. Invalid if it is this host.
     [[nodiscard]] HostId ownerOf(TimePoint now, ServiceId service, std::size_t part) const;
     /// the owner @p host did not answer: others are asked for a while.
-    void passOver(TimePoint now, HostId host);
+    /// @return false if it is passed over already.
+    bool passOver(TimePoint now, HostId host);
 
     /// Where @p host takes peers; empty if it is not known.
     [[nodiscard]] Address addressOf(HostId host) const;
--- a/currantreel/src/Shell/ForwardDaemon.cpp
+++ b/currantreel/src/Shell/ForwardDaemon.cpp
@@ -394,8 +394,8 @@
 
 void ForwardDaemon::handle(const PassOverOwner &silent)
 {
-    m_fleet.passOver(steadyNow(), silent.owner);
-    m_log.write("owner_silent", { { "host", hexOf(silent.owner) } });
+    if (m_fleet.passOver(steadyNow(), silent.owner))
+        m_log.write("owner_silent", { { "host", hexOf(silent.owner) } });
 }
 
 FleetHost ForwardDaemon::describeSelf() const
--- a/test/FleetSystemTest.cpp
+++ b/test/FleetSystemTest.cpp
@@ -250,6 +250,24 @@
     std::size_t asking = 0;
     while (FleetSystem::idOf(hosts.addresses[asking]) == first)
         ++asking;
-    hosts.systems[asking]->passOver(hosts.now, first);
+    CHECK(hosts.systems[asking]->passOver(hosts.now, first));
     CHECK(owner(asking, 1) != first);
 }
+
+TEST_CASE("an owner that leaves many questions unanswered at one moment is passed over once")
+{
+    Hosts hosts(4);
+    for (FleetHost &self : hosts.selves)
+        self.canOwn = true;
+    hosts.pass(6s);
+    const ServiceId service = ServiceId::ofName("engines");
+    FleetSystem &asking = *hosts.systems[0];
+    std::size_t part = 0;
+    while (!asking.ownerOf(hosts.now, service, part).isValid())
+        ++part;
+    const HostId owner = asking.ownerOf(hosts.now, service, part);
+    for (int question = 0; question < 10; ++question)
+        CHECK(asking.passOver(hosts.now, owner) == (question == 0));
+    CHECK(asking.ownerOf(hosts.now, service, part) != owner);
+    CHECK(asking.ownerOf(hosts.now + 1100ms, service, part) == owner);
+}
