--- a/currantreel/src/Forward/ForwardOwners.cpp
+++ b/currantreel/src/Forward/ForwardOwners.cpp
@@ -8,12 +8,18 @@
 
 namespace currantreel {
 
-HostId ForwardSystem::ownerOf(TimePoint now, Call &call)
+void ForwardSystem::assignPart(Call &call)
 {
     if (!m_ownerOf || !call.route->hasPrompt)
-        return {};
+        return;
     call.parts = std::max<std::size_t>(m_directory.parts(call.service), 1);
     call.part = call.prompt.subject() % call.parts;
+}
+
+HostId ForwardSystem::ownerOf(TimePoint now, const Call &call)
+{
+    if (!m_ownerOf || !call.route->hasPrompt)
+        return {};
     const HostId owner = m_ownerOf(now, call.service, call.part);
     m_owners.try_emplace({ call.service, call.part }, owner);
     return call.decidesHere ? HostId() : owner;
--- a/currantreel/src/Forward/ForwardSystem.cpp
+++ b/currantreel/src/Forward/ForwardSystem.cpp
@@ -163,19 +163,31 @@
 
 void ForwardSystem::dispatchWaiting(TimePoint now)
 {
-    for (auto &[service, queue] : m_queues) {
-        auto next = queue.begin();
-        while (next != queue.end()) {
-            Call &call = *m_calls.find(next->request);
-            if (now < call.retryAt) {
-                ++next;
-                continue;
-            }
-            // Strict order: what is less urgent does not pass a request that finds no room.
-            if (isBlocked(now, call) || !dispatch(now, call))
-                break;
+    for (auto &[service, queue] : m_queues)
+        dispatchWaiting(now, queue);
+}
+
+void ForwardSystem::dispatchWaiting(TimePoint now, std::set<QueuePosition> &queue)
+{
+    // Strict order: what is less urgent does not pass a request that finds no room in the same part.
+    std::set<std::size_t> fullParts;
+    auto next = queue.begin();
+    while (next != queue.end()) {
+        Call &call = *m_calls.find(next->request);
+        if (now < call.retryAt) {
+            ++next;
+            continue;
+        }
+        assignPart(call);
+        const bool isHeld = fullParts.contains(call.part) || isBlocked(now, call);
+        if (!isHeld && dispatch(now, call)) {
             next = queue.erase(next);
+            continue;
         }
+        fullParts.insert(call.part);
+        if (fullParts.size() >= call.parts)
+            return;
+        ++next;
     }
 }
 
--- a/currantreel/src/Forward/ForwardSystem.h
+++ b/currantreel/src/Forward/ForwardSystem.h
@@ -138,8 +138,10 @@
     [[nodiscard]] QueuePosition positionOf(const Call &call) const;
     [[nodiscard]] PlacementRequest placementOf(const Call &call) const;
     void dispatchWaiting(TimePoint now);
+    void dispatchWaiting(TimePoint now, std::set<QueuePosition> &queue);
+    void assignPart(Call &call);
     [[nodiscard]] bool dispatch(TimePoint now, Call &call);
-    [[nodiscard]] HostId ownerOf(TimePoint now, Call &call);
+    [[nodiscard]] HostId ownerOf(TimePoint now, const Call &call);
     void ask(TimePoint now, Call &call, HostId owner);
     void stopAsking(Call &call);
     void sendTo(TimePoint now, Call &call, HostId owner, const PlacementGrant &grant);
--- a/test/PlacementLeasesTest.cpp
+++ b/test/PlacementLeasesTest.cpp
@@ -269,6 +269,28 @@
     CHECK(told<PlacementAsk>(fixture).back().isUrgent);
 }
 
+TEST_CASE("an owner whose engines are full holds up no request for another owner")
+{
+    OwnerFixture fixture(120);
+    const ServiceId service = engines;
+    REQUIRE(fixture.system.directory().parts(service) == 2);
+    const HostId other = HostId::ofName("other");
+    fixture.system.setOwnerLookup(
+        [&](TimePoint, ServiceId, std::size_t part) { return part == 0 ? owner : other; });
+    // Subjects 2 and 4 are of the first part, 3 of the second.
+    fixture.call("/summary/lot", "key", promptOf(2, 200, 3'000, 1));
+    fixture.system.onGrant(
+        fixture.now, owner,
+        PlacementGrant{ told<PlacementAsk>(fixture).back().attempt, {}, 0, Incarnation{ 5 } });
+    fixture.take();
+    const std::size_t asked = told<PlacementAsk>(fixture).size();
+    fixture.call("/summary/lot", "key", promptOf(4, 200, 3'000, 2));
+    CHECK(told<PlacementAsk>(fixture).size() == asked);
+    fixture.call("/summary/lot", "key", promptOf(3, 200, 3'000, 3));
+    REQUIRE(told<PlacementAsk>(fixture).size() == asked + 1);
+    CHECK(fixture.last<TellOwner>().owner == other);
+}
+
 TEST_CASE("a new owner is told what this host has at its engines")
 {
     OwnerFixture fixture;
