Count load by rank; servers under suspicion are not chosen for being empty

Proof drafts with a target of 2 s filled engines up to their own limit, which is beyond the limit of wording checks with a target of 1.2 s. An engine that had just failed was also chosen whenever the others were full, since rank of health came after capacity.

Change: load is counted by rank, on the wire too; a request sees its own rank and the more urgent ones, up to a limit of all requests. A server that is avoided is chosen only if there is no other one, and after that time it is sent one request until one succeeds.

--- a/currantreel/src/Forward/DomainHealth.h
+++ b/currantreel/src/Forward/DomainHealth.h
@@ -19,7 +19,7 @@
     /// A server of the failure domain answered; ends the avoidance.
     void recordAnswer();
 
-    /// Whether its servers are to be avoided while others have capacity.
+    /// Whether its servers are to be avoided while there are others.
     [[nodiscard]] bool isAvoided(TimePoint now) const { return now < m_avoidedUntil; }
 
 private:
--- a/currantreel/src/Forward/ForwardAttempts.cpp
+++ b/currantreel/src/Forward/ForwardAttempts.cpp
@@ -52,7 +52,7 @@
     if (call.uncached > 0)
         reportProgress(call, PlacementProgress::AnswerStarted);
     if (ForwardServer *server = m_directory.find(call.server))
-        server->own.finishPrefill(call.uncached);
+        server->own.finishPrefill(call.rank, call.uncached);
     call.uncached = 0;
 }
 
@@ -62,7 +62,7 @@
     call.owner = {};
     settlePrefill(call);
     if (ForwardServer *server = m_directory.find(call.server))
-        server->own.finish(call.prompt.reservedTokens());
+        server->own.finish(call.rank, call.prompt.reservedTokens());
 }
 
 void ForwardSystem::cancelAttempt(Call &call)
--- a/currantreel/src/Forward/ForwardOwners.cpp
+++ b/currantreel/src/Forward/ForwardOwners.cpp
@@ -47,7 +47,7 @@
     request.prompt = call.prompt;
     request.bytes = criteria.bytes;
     request.isLongPrompt = criteria.isLongPrompt;
-    request.isUrgent = criteria.isUrgent;
+    request.rank = criteria.rank;
     request.target = criteria.target;
     request.timeLeft = call.endAt - now;
     request.avoid = call.tried;
@@ -166,7 +166,7 @@
             continue;
         call.owner = owner;
         active.placements.push_back({ call.attempt, call.server, call.uncached,
-                                      call.prompt.reservedTokens(), call.endAt - now });
+                                      call.prompt.reservedTokens(), call.rank, call.endAt - now });
     }
     m_effects.emplace_back(SendToOwner{ owner, std::move(active) });
 }
--- a/currantreel/src/Forward/ForwardSystem.cpp
+++ b/currantreel/src/Forward/ForwardSystem.cpp
@@ -150,7 +150,7 @@
     PlacementCriteria criteria;
     criteria.service = call.service;
     criteria.failureDomain = m_failureDomain;
-    criteria.isUrgent = call.route->priority == topTier;
+    criteria.rank = call.rank;
     criteria.tried = call.tried;
     criteria.bytes = call.bytes + bytesPerAnswerToken * call.prompt.maxAnswerTokens;
     criteria.partition = call.partition;
@@ -229,7 +229,7 @@
     call.isWritten = false;
     call.tried.push_back(server.id);
     server.cache.addPrompt(call.prompt);
-    server.own.start(call.uncached, call.prompt.reservedTokens());
+    server.own.start(call.rank, call.uncached, call.prompt.reservedTokens());
     m_attempts[call.attempt] = call.id;
 
     StartForward start;
--- a/currantreel/src/Forward/PlacementLeases.cpp
+++ b/currantreel/src/Forward/PlacementLeases.cpp
@@ -31,7 +31,7 @@
     criteria.failureDomain = request.failureDomain;
     criteria.bytes = request.bytes;
     criteria.isLongPrompt = request.isLongPrompt;
-    criteria.isUrgent = request.isUrgent;
+    criteria.rank = request.rank;
     criteria.target = request.target;
     criteria.tried = request.avoid;
     ForwardServer *server = chooseServer(*m_directory, *m_groups, criteria, now);
@@ -43,6 +43,7 @@
     lease.server = server->id;
     lease.uncached = server->cache.uncachedTokens(request.prompt);
     lease.reserved = request.prompt.reservedTokens();
+    lease.rank = request.rank;
     lease.isStreamOfShortPrompt = !request.isLongPrompt;
     lease.grantedAt = now;
     lease.expiresAt = now + request.timeLeft + leaseGracePeriod;
@@ -60,14 +61,14 @@
     if (const auto known = m_leases.find(id); known != m_leases.end())
         remove(known);
     if (ForwardServer *server = m_directory->find(lease.server))
-        server->others.start(lease.uncached, lease.reserved);
+        server->others.start(lease.rank, lease.uncached, lease.reserved);
     m_leases.emplace(id, lease);
 }
 
 void PlacementLeases::settlePrefill(Lease &lease)
 {
     if (ForwardServer *server = m_directory->find(lease.server))
-        server->others.finishPrefill(lease.uncached);
+        server->others.finishPrefill(lease.rank, lease.uncached);
     lease.uncached = 0;
 }
 
@@ -75,7 +76,7 @@
 {
     settlePrefill(lease->second);
     if (ForwardServer *server = m_directory->find(lease->second.server))
-        server->others.finish(lease->second.reserved);
+        server->others.finish(lease->second.rank, lease->second.reserved);
     return m_leases.erase(lease);
 }
 
@@ -114,6 +115,7 @@
         lease.server = placement.server;
         lease.uncached = placement.uncached;
         lease.reserved = placement.reserved;
+        lease.rank = placement.rank;
         lease.grantedAt = now;
         lease.expiresAt = now + placement.timeLeft + leaseGracePeriod;
         add({ from, placement.attempt }, lease);
--- a/currantreel/src/Forward/PlacementLeases.h
+++ b/currantreel/src/Forward/PlacementLeases.h
@@ -48,6 +48,7 @@
         BackendServerId server;
         std::uint32_t uncached = 0; ///< Prompt tokens still to be prefilled.
         std::uint32_t reserved = 0; ///< KV cache tokens reserved.
+        std::uint32_t rank = 0; ///< 0 is the most urgent.
         bool isStreamOfShortPrompt = false;
         TimePoint grantedAt;
         TimePoint expiresAt;
--- a/currantreel/src/Forward/PlacementMessages.h
+++ b/currantreel/src/Forward/PlacementMessages.h
@@ -20,7 +20,7 @@
     Prompt prompt;
     std::uint64_t bytes = 0; ///< Size of the request plus its expected answer.
     bool isLongPrompt = false;
-    bool isUrgent = false; ///< The request belongs to the top tier.
+    std::uint32_t rank = 0; ///< 0 is the most urgent.
     Duration target{}; ///< Target time to the first event of the answer.
     Duration timeLeft{}; ///< Time until the request's deadline.
     std::vector<BackendServerId> avoid; ///< Servers that failed the request or appear unreachable.
@@ -66,6 +66,7 @@
     BackendServerId server;
     std::uint32_t uncached = 0; ///< Prompt tokens that the server still has to prefill.
     std::uint32_t reserved = 0; ///< KV cache tokens reserved until the request ends.
+    std::uint32_t rank = 0; ///< 0 is the most urgent.
     Duration timeLeft{};
 };
 
--- a/currantreel/src/Forward/ServerDirectory.cpp
+++ b/currantreel/src/Forward/ServerDirectory.cpp
@@ -12,6 +12,8 @@
 constexpr double engineQueueShare = 0.5;
 /// The same for services without model engines, whose queues are short.
 constexpr double serviceQueueShare = 1.0;
+/// The same for requests of all ranks, so that urgent ones are sent beside less urgent ones.
+constexpr double maxQueueShare = 1.0;
 /// Maximum number of servers of a service in one partition.
 constexpr std::size_t maxServersPerPartition = 96;
 
@@ -58,6 +60,7 @@
     const double share = isEngine ? engineQueueShare : serviceQueueShare;
     const double slots = std::max<double>(server.announced.slots, 1.0);
     server.maxRequests = static_cast<std::uint32_t>(slots * (1.0 + share));
+    server.maxRequestsOfAllRanks = static_cast<std::uint32_t>(slots * (1.0 + maxQueueShare));
     server.memoryTokens = isEngine ? found->second.engine->memoryTokens : 0;
     server.cache.setCapacity(server.memoryTokens);
 }
--- a/currantreel/src/Forward/ServerDirectory.h
+++ b/currantreel/src/Forward/ServerDirectory.h
@@ -38,12 +38,17 @@
     PromptCache cache;
     ServerHealth health;
     std::uint64_t memoryTokens = 0; ///< Size of the KV cache; 0 if the server is no model engine.
-    std::uint32_t maxRequests = 0; ///< Limit of concurrent requests from all hosts.
-
-    [[nodiscard]] ServerLoad load() const
+    /// Limit of concurrent requests from all hosts, not counting those that are less urgent.
+    std::uint32_t maxRequests = 0;
+    std::uint32_t maxRequestsOfAllRanks = 0; ///< The same, counting all.
+
+    /// Load by all requests.
+    [[nodiscard]] LoadAmount load() const { return load(rankCount - 1); }
+    /// Load by the requests of @p rank and of more urgent ones.
+    [[nodiscard]] LoadAmount load(std::uint32_t rank) const
     {
-        ServerLoad sum = own;
-        sum.add(others);
+        LoadAmount sum = own.upTo(rank);
+        sum.add(others.upTo(rank));
         return sum;
     }
 };
@@ -80,7 +85,7 @@
     void recordUnreachable(ForwardServer &server, TimePoint now);
     /// Records an answer of @p server.
     void recordAnswer(const ForwardServer &server);
-    /// Whether @p server is to be avoided while others have capacity.
+    /// Whether @p server is to be avoided while there are others.
     [[nodiscard]] bool isAvoided(const ForwardServer &server, TimePoint now) const;
 
     [[nodiscard]] std::size_t size() const { return m_servers.size(); }
--- a/currantreel/src/Forward/ServerHealth.h
+++ b/currantreel/src/Forward/ServerHealth.h
@@ -25,9 +25,16 @@
     /// Records the outcome that @p progress implies, if any.
     void recordProgress(TimePoint now, PlacementProgress progress);
 
-    /// Whether the server is to be avoided while others have capacity.
+    /// Whether the server is to be avoided while there are others.
     [[nodiscard]] bool isAvoided(TimePoint now) const { return now < m_avoidedUntil; }
 
+    /// Whether the server was avoided and has not succeeded since: it is sent one request at a time
+    /// until one succeeds.
+    [[nodiscard]] bool isOnProbation(TimePoint now) const
+    {
+        return m_backoff > Duration::zero() && !isAvoided(now);
+    }
+
     /// Exponentially weighted share of requests that failed, 0 to 1.
     [[nodiscard]] double failureShare() const { return m_failureShare; }
 
--- a/currantreel/src/Forward/ServerPlacement.cpp
+++ b/currantreel/src/Forward/ServerPlacement.cpp
@@ -22,8 +22,8 @@
 /// Share of the shared prefix assumed to be cached at the preferred server, even if this host has
 /// not sent it the prefix.
 constexpr double assumedCachedShare = 0.9;
-/// Share of an engine's memory that requests below the top tier may fill.
-constexpr double lowerTierMemoryShare = 0.9;
+/// Share of an engine's memory that running requests may fill.
+constexpr double maxMemoryShare = 0.9;
 /// Cost of an engine of the group for the other prompt length, in prompt tokens.
 constexpr double tokensPerShortInLongGroup = 6'000.0;
 constexpr double tokensPerLongInShortGroup = 25'000.0;
@@ -72,24 +72,36 @@
     return best;
 }
 
-/// Whether the server has capacity for the request.
-/// @param uncached the request's uncached tokens at the server.
-bool hasCapacity(const ForwardServer &server, const PlacementCriteria &criteria, double uncached)
+/// Whether an engine has prefill time and memory for the request.
+/// @param ahead load by requests that the engine runs before this one or beside it.
+bool hasEngineCapacity(const ForwardServer &server, const PlacementCriteria &criteria,
+                       const LoadAmount &ahead, double uncached)
 {
-    const ServerLoad load = server.load();
-    if (load.requests >= server.maxRequests)
-        return false;
-    if (server.memoryTokens == 0 || criteria.isUrgent || !criteria.prompt)
-        return true;
     const double maxBacklog = EngineGroups::prefillTokensPerSecond * maxBacklogTargets
                               * std::chrono::duration<double>(criteria.target).count();
-    const bool isBacklogged =
-        load.uncachedTokens > 0 && static_cast<double>(load.uncachedTokens) + uncached > maxBacklog;
+    const bool isBacklogged = ahead.uncachedTokens > 0
+                              && static_cast<double>(ahead.uncachedTokens) + uncached > maxBacklog;
     if (maxBacklog > 0.0 && isBacklogged)
         return false;
-    const double needed = static_cast<double>(load.reservedTokens) + criteria.prompt->tokens;
-    return load.requests == 0
-           || needed <= lowerTierMemoryShare * static_cast<double>(server.memoryTokens);
+    const double needed = static_cast<double>(ahead.reservedTokens) + criteria.prompt->tokens;
+    return ahead.requests == 0
+           || needed <= maxMemoryShare * static_cast<double>(server.memoryTokens);
+}
+
+/// Whether the server has capacity for the request. Less urgent requests count only against the
+/// limit of all requests.
+/// @param uncached the request's uncached tokens at the server.
+bool hasCapacity(const ForwardServer &server, const PlacementCriteria &criteria, double uncached,
+                 TimePoint now)
+{
+    const std::uint32_t requests = server.load().requests;
+    if (requests > 0 && server.health.isOnProbation(now))
+        return false;
+    const LoadAmount ahead = server.load(criteria.rank);
+    if (ahead.requests >= server.maxRequests || requests >= server.maxRequestsOfAllRanks)
+        return false;
+    const bool isEngine = server.memoryTokens > 0 && criteria.prompt;
+    return !isEngine || hasEngineCapacity(server, criteria, ahead, uncached);
 }
 
 /// Assumed upper bound of the uncached tokens at the preferred server, even if this host has not
@@ -102,6 +114,18 @@
     return tokens - assumedCachedShare * (tokens - prompt.segments.back().tokens);
 }
 
+/// Whether a server is expected to serve the request, best first.
+enum class Suitability : std::uint8_t { Sound, Avoided, Failed };
+
+Suitability suitabilityOf(const ForwardServer &server, const ServerDirectory &directory,
+                          const PlacementCriteria &criteria, TimePoint now)
+{
+    const auto &tried = criteria.tried;
+    if (std::find(tried.begin(), tried.end(), server.id) != tried.end())
+        return Suitability::Failed;
+    return directory.isAvoided(server, now) ? Suitability::Avoided : Suitability::Sound;
+}
+
 /// Inputs common to all servers in one choice.
 struct Choice
 {
@@ -122,7 +146,7 @@
 double costOf(const ForwardServer &server, double uncached, bool isInGroup, const Choice &choice)
 {
     const PlacementCriteria &criteria = *choice.criteria;
-    const ServerLoad load = server.load();
+    const LoadAmount load = server.load(criteria.rank);
     const double own = &server == choice.preferred
                            ? std::min(uncached, maxUncachedAtPreferred(*criteria.prompt))
                            : uncached;
@@ -153,24 +177,26 @@
     const Choice choice{ &criteria, preferredServer(group, criteria), now };
     ForwardServer *best = nullptr;
     double bestCost = 0.0;
-    int bestRank = 0;
+    Suitability bestSuitability = Suitability::Failed;
     const auto groupBegin = static_cast<std::size_t>(group.data() - servers.data());
     for (std::size_t i = 0; i < servers.size(); ++i) {
         ForwardServer *server = servers[i];
+        const Suitability suitability = suitabilityOf(*server, directory, criteria, now);
+        if (suitability > bestSuitability)
+            continue;
+        if (suitability < bestSuitability) {
+            best = nullptr;
+            bestSuitability = suitability;
+        }
         const double uncached =
             criteria.prompt ? server->cache.uncachedTokens(*criteria.prompt) : 0.0;
-        if (!hasCapacity(*server, criteria, uncached))
+        if (!hasCapacity(*server, criteria, uncached, now))
             continue;
-        const bool isTried = std::find(criteria.tried.begin(), criteria.tried.end(), server->id)
-                             != criteria.tried.end();
-        // Servers that failed this request are ranked last, after those that are avoided.
-        const int rank = isTried ? 2 : (directory.isAvoided(*server, now) ? 1 : 0);
         const bool isInGroup = i >= groupBegin && i < groupBegin + group.size();
         const double cost = costOf(*server, uncached, isInGroup, choice);
-        if (!best || rank < bestRank || (rank == bestRank && cost < bestCost)) {
+        if (!best || cost < bestCost) {
             best = server;
             bestCost = cost;
-            bestRank = rank;
         }
     }
     return best;
--- a/currantreel/src/Forward/ServerPlacement.h
+++ b/currantreel/src/Forward/ServerPlacement.h
@@ -17,10 +17,11 @@
     FailureDomainId failureDomain; ///< Failure domain of the host that sends the request.
     std::size_t bytes = 0; ///< Size of the request plus its expected answer.
     bool isLongPrompt = false;
-    bool isUrgent = false; ///< Top tier: may use capacity that lower tiers must leave free.
+    /// Less urgent requests at a server do not count against its capacity; 0 is the most urgent.
+    std::uint32_t rank = 0;
     Duration target{}; ///< Target time to the first event of the answer; zero for none.
-    /// Servers that failed the request or that its host cannot reach: chosen only if no other is
-    /// left.
+    /// Servers that failed the request or that its host cannot reach: chosen only if there are no
+    /// others.
     std::span<const BackendServerId> tried;
 };
 
@@ -30,6 +31,9 @@
 ///
 /// Requests with the same shared prefix prefer the same server, by rendezvous hashing, so that a
 /// new owner keeps the preference of its predecessor.
+///
+/// A server that is avoided is chosen only if there is no other, not because the others are full: it
+/// has no load and would draw all requests beyond the capacity of the others.
 /// @return the server, or nullptr if none has capacity.
 [[nodiscard]] ForwardServer *chooseServer(ServerDirectory &directory, EngineGroups &groups,
                                           const PlacementCriteria &criteria, TimePoint now);
--- a/currantreel/src/Peer/Generated/PeerMessage_generated.h
+++ b/currantreel/src/Peer/Generated/PeerMessage_generated.h
@@ -2870,10 +2870,10 @@
     VT_MOST_ANSWER_TOKENS = 18,
     VT_BYTES = 20,
     VT_IS_LONG_PROMPT = 22,
-    VT_IS_URGENT = 24,
     VT_TIME_LEFT_US = 26,
     VT_AVOID = 28,
-    VT_TARGET_US = 30
+    VT_TARGET_US = 30,
+    VT_RANK = 32
   };
   uint64_t attempt() const {
     return GetField<uint64_t>(VT_ATTEMPT, 0);
@@ -2905,9 +2905,6 @@
   bool is_long_prompt() const {
     return GetField<uint8_t>(VT_IS_LONG_PROMPT, 0) != 0;
   }
-  bool is_urgent() const {
-    return GetField<uint8_t>(VT_IS_URGENT, 0) != 0;
-  }
   int64_t time_left_us() const {
     return GetField<int64_t>(VT_TIME_LEFT_US, 0);
   }
@@ -2917,6 +2914,9 @@
   int64_t target_us() const {
     return GetField<int64_t>(VT_TARGET_US, 0);
   }
+  uint8_t rank() const {
+    return GetField<uint8_t>(VT_RANK, 9);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
@@ -2930,11 +2930,11 @@
            VerifyField<uint32_t>(verifier, VT_MOST_ANSWER_TOKENS, 4) &&
            VerifyField<uint64_t>(verifier, VT_BYTES, 8) &&
            VerifyField<uint8_t>(verifier, VT_IS_LONG_PROMPT, 1) &&
-           VerifyField<uint8_t>(verifier, VT_IS_URGENT, 1) &&
            VerifyField<int64_t>(verifier, VT_TIME_LEFT_US, 8) &&
            VerifyOffset(verifier, VT_AVOID) &&
            verifier.VerifyVector(avoid()) &&
            VerifyField<int64_t>(verifier, VT_TARGET_US, 8) &&
+           VerifyField<uint8_t>(verifier, VT_RANK, 1) &&
            verifier.EndTable();
   }
 };
@@ -2973,9 +2973,6 @@
   void add_is_long_prompt(bool is_long_prompt) {
     fbb_.AddElement<uint8_t>(PlacementAsk::VT_IS_LONG_PROMPT, static_cast<uint8_t>(is_long_prompt), 0);
   }
-  void add_is_urgent(bool is_urgent) {
-    fbb_.AddElement<uint8_t>(PlacementAsk::VT_IS_URGENT, static_cast<uint8_t>(is_urgent), 0);
-  }
   void add_time_left_us(int64_t time_left_us) {
     fbb_.AddElement<int64_t>(PlacementAsk::VT_TIME_LEFT_US, time_left_us, 0);
   }
@@ -2985,6 +2982,9 @@
   void add_target_us(int64_t target_us) {
     fbb_.AddElement<int64_t>(PlacementAsk::VT_TARGET_US, target_us, 0);
   }
+  void add_rank(uint8_t rank) {
+    fbb_.AddElement<uint8_t>(PlacementAsk::VT_RANK, rank, 9);
+  }
   explicit PlacementAskBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3008,10 +3008,10 @@
     uint32_t most_answer_tokens = 0,
     uint64_t bytes = 0,
     bool is_long_prompt = false,
-    bool is_urgent = false,
     int64_t time_left_us = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> avoid = 0,
-    int64_t target_us = 0) {
+    int64_t target_us = 0,
+    uint8_t rank = 9) {
   PlacementAskBuilder builder_(_fbb);
   builder_.add_target_us(target_us);
   builder_.add_time_left_us(time_left_us);
@@ -3025,7 +3025,7 @@
   builder_.add_prompt(prompt);
   builder_.add_parts(parts);
   builder_.add_part(part);
-  builder_.add_is_urgent(is_urgent);
+  builder_.add_rank(rank);
   builder_.add_is_long_prompt(is_long_prompt);
   return builder_.Finish();
 }
@@ -3047,10 +3047,10 @@
     uint32_t most_answer_tokens = 0,
     uint64_t bytes = 0,
     bool is_long_prompt = false,
-    bool is_urgent = false,
     int64_t time_left_us = 0,
     const std::vector<uint64_t> *avoid = nullptr,
-    int64_t target_us = 0) {
+    int64_t target_us = 0,
+    uint8_t rank = 9) {
   auto prompt__ = prompt ? _fbb.CreateVectorOfStructs<currantreel::wire::PromptPart>(*prompt) : 0;
   auto avoid__ = avoid ? _fbb.CreateVector<uint64_t>(*avoid) : 0;
   return currantreel::wire::CreatePlacementAsk(
@@ -3065,10 +3065,10 @@
       most_answer_tokens,
       bytes,
       is_long_prompt,
-      is_urgent,
       time_left_us,
       avoid__,
-      target_us);
+      target_us,
+      rank);
 }
 
 struct PlacementGrant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3211,7 +3211,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SERVICE = 4,
     VT_PART = 6,
-    VT_PLACEMENTS = 8
+    VT_PLACEMENTS = 8,
+    VT_RANKS = 10
   };
   uint64_t service() const {
     return GetField<uint64_t>(VT_SERVICE, 0);
@@ -3222,12 +3223,17 @@
   const flatbuffers::Vector<const currantreel::wire::HeldPlacement *> *placements() const {
     return GetPointer<const flatbuffers::Vector<const currantreel::wire::HeldPlacement *> *>(VT_PLACEMENTS);
   }
+  const flatbuffers::Vector<uint8_t> *ranks() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_RANKS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SERVICE, 8) &&
            VerifyField<uint32_t>(verifier, VT_PART, 4) &&
            VerifyOffset(verifier, VT_PLACEMENTS) &&
            verifier.VerifyVector(placements()) &&
+           VerifyOffset(verifier, VT_RANKS) &&
+           verifier.VerifyVector(ranks()) &&
            verifier.EndTable();
   }
 };
@@ -3245,6 +3251,9 @@
   void add_placements(flatbuffers::Offset<flatbuffers::Vector<const currantreel::wire::HeldPlacement *>> placements) {
     fbb_.AddOffset(PlacementsHeld::VT_PLACEMENTS, placements);
   }
+  void add_ranks(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> ranks) {
+    fbb_.AddOffset(PlacementsHeld::VT_RANKS, ranks);
+  }
   explicit PlacementsHeldBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3260,9 +3269,11 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t service = 0,
     uint32_t part = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const currantreel::wire::HeldPlacement *>> placements = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const currantreel::wire::HeldPlacement *>> placements = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> ranks = 0) {
   PlacementsHeldBuilder builder_(_fbb);
   builder_.add_service(service);
+  builder_.add_ranks(ranks);
   builder_.add_placements(placements);
   builder_.add_part(part);
   return builder_.Finish();
@@ -3277,13 +3288,16 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t service = 0,
     uint32_t part = 0,
-    const std::vector<currantreel::wire::HeldPlacement> *placements = nullptr) {
+    const std::vector<currantreel::wire::HeldPlacement> *placements = nullptr,
+    const std::vector<uint8_t> *ranks = nullptr) {
   auto placements__ = placements ? _fbb.CreateVectorOfStructs<currantreel::wire::HeldPlacement>(*placements) : 0;
+  auto ranks__ = ranks ? _fbb.CreateVector<uint8_t>(*ranks) : 0;
   return currantreel::wire::CreatePlacementsHeld(
       _fbb,
       service,
       part,
-      placements__);
+      placements__,
+      ranks__);
 }
 
 struct PublishedRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/currantreel/src/Peer/PeerDecoder.cpp
+++ b/currantreel/src/Peer/PeerDecoder.cpp
@@ -1,5 +1,6 @@
 #include "PeerDecoder.h"
 
+#include "../Forward/ServerLoad.h"
 #include "GossipCodec.h"
 #include "WireVector.h"
 #include <PeerMessage_generated.h>
@@ -293,7 +294,7 @@
     request.prompt.maxAnswerTokens = table.most_answer_tokens();
     request.bytes = table.bytes();
     request.isLongPrompt = table.is_long_prompt();
-    request.isUrgent = table.is_urgent();
+    request.rank = table.rank();
     request.target = reader.time(table.target_us());
     request.timeLeft = reader.time(table.time_left_us());
     if (!isAligned(table.prompt()) || !isAligned(table.avoid()))
@@ -342,10 +343,17 @@
         reader.reject();
     if (!reader.isValid() || !table.placements())
         return active;
-    for (const wire::HeldPlacement *placement : *table.placements())
-        active.placements.push_back({ AttemptId{ placement->attempt() },
-                                      BackendServerId{ placement->server() }, placement->unread(),
-                                      placement->held(), reader.time(placement->time_left_us()) });
+    for (const wire::HeldPlacement *placement : *table.placements()) {
+        // Hosts of an older version do not state ranks.
+        const std::size_t index = active.placements.size();
+        const bool hasRank = table.ranks() && index < table.ranks()->size();
+        active.placements.push_back(
+            { AttemptId{ placement->attempt() }, BackendServerId{ placement->server() },
+              placement->unread(), placement->held(),
+              hasRank ? table.ranks()->Get(static_cast<flatbuffers::uoffset_t>(index))
+                      : rankCount - 1,
+              reader.time(placement->time_left_us()) });
+    }
     return active;
 }
 
--- a/currantreel/src/Peer/PeerEncoder.cpp
+++ b/currantreel/src/Peer/PeerEncoder.cpp
@@ -1,7 +1,9 @@
 #include "PeerEncoder.h"
 
+#include "../Forward/ServerLoad.h"
 #include "GossipCodec.h"
 #include <PeerMessage_generated.h>
+#include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <cstring>
@@ -182,6 +184,11 @@
     return bodyOf(wire::CreateFleetNews(builder, &sender, message.revision, hostVector));
 }
 
+std::uint8_t toWireRank(std::uint32_t rank)
+{
+    return static_cast<std::uint8_t>(std::min(rank, rankCount - 1));
+}
+
 EncodedBody encode(Builder &builder, const PlacementGrantRequest &message)
 {
     std::vector<wire::PromptPart> segments;
@@ -197,8 +204,8 @@
     return bodyOf(wire::CreatePlacementAsk(
         builder, message.attempt.value, message.service.value, message.partition,
         message.partitionCount, message.failureDomain.value, promptVector, message.prompt.tokens,
-        message.prompt.maxAnswerTokens, message.bytes, message.isLongPrompt, message.isUrgent,
-        message.timeLeft.count(), avoidVector, message.target.count()));
+        message.prompt.maxAnswerTokens, message.bytes, message.isLongPrompt,
+        message.timeLeft.count(), avoidVector, message.target.count(), toWireRank(message.rank)));
 }
 
 EncodedBody encode(Builder &builder, const PlacementGrant &message)
@@ -219,13 +226,18 @@
 EncodedBody encode(Builder &builder, const ActivePlacements &message)
 {
     std::vector<wire::HeldPlacement> placements;
+    std::vector<std::uint8_t> ranks;
     placements.reserve(message.placements.size());
-    for (const ActivePlacement &placement : message.placements)
+    ranks.reserve(message.placements.size());
+    for (const ActivePlacement &placement : message.placements) {
         placements.emplace_back(placement.attempt.value, placement.server.value,
                                 placement.timeLeft.count(), placement.uncached, placement.reserved);
+        ranks.push_back(toWireRank(placement.rank));
+    }
     const auto vector = builder.CreateVectorOfStructs(placements);
-    return bodyOf(
-        wire::CreatePlacementsHeld(builder, message.service.value, message.partition, vector));
+    const auto rankVector = builder.CreateVector(ranks);
+    return bodyOf(wire::CreatePlacementsHeld(builder, message.service.value, message.partition,
+                                             vector, rankVector));
 }
 
 EncodedBody encode(Builder &builder, const PublishedRequest &message)
--- a/currantreel/src/Shell/ForwardOperatorHttpServer.cpp
+++ b/currantreel/src/Shell/ForwardOperatorHttpServer.cpp
@@ -69,8 +69,8 @@
         status["backend_servers"].push_back({ { "instance", server.announced.instance },
                                               { "address", toText(server.announced.address) },
                                               { "leaving", server.announced.isLeaving },
-                                              { "own_requests", server.own.requests },
-                                              { "others_requests", server.others.requests },
+                                              { "own_requests", server.own.total().requests },
+                                              { "others_requests", server.others.total().requests },
                                               { "failure_share", server.health.failureShare() } });
     }
     return status.dump();
--- a/test/ForwardTest.cpp
+++ b/test/ForwardTest.cpp
@@ -18,7 +18,7 @@
     fixture.answer(sent.attempt, 200);
     CHECK(fixture.last<FinishForward>().request == sent.request);
     CHECK(fixture.system.size() == 0);
-    CHECK(fixture.system.directory().servers().begin()->own.requests == 0);
+    CHECK(fixture.system.directory().servers().begin()->own.total().requests == 0);
 }
 
 TEST_CASE(
@@ -344,7 +344,9 @@
         fixture.addServer("far-" + std::to_string(server), "ledger", "b");
     fixture.addServer("near-1", "ledger", "a", 64);
     // The near server is loaded enough for the others to be tried first.
-    fixture.system.directory().find(BackendServerId::ofName("near-1"))->others.requests = 60;
+    ForwardServer &near = *fixture.system.directory().find(BackendServerId::ofName("near-1"));
+    for (int request = 0; request < 60; ++request)
+        near.others.start(0, 0, 0);
     constexpr Duration interval = 40ms;
     constexpr Duration detectionTime = 2 * timing::connectTimeout;
     std::size_t sentFar = 0;
--- a/test/PeerCodecTest.cpp
+++ b/test/PeerCodecTest.cpp
@@ -85,15 +85,16 @@
             Prompt{ { PromptSegment{ 41, 300 }, PromptSegment{ 42, 20 } }, 320, 90 },
             4'000,
             true,
-            true,
+            4,
             300ms,
             750ms,
             { BackendServerId{ 17 }, BackendServerId{ 16 } } },
         PlacementGrant{ AttemptId{ 31 }, BackendServerId{ 17 }, 200, Incarnation{ 77 } },
         PlacementUpdates{ { { AttemptId{ 31 }, PlacementProgress::AnswerStarted },
                             { AttemptId{ 30 }, PlacementProgress::Unreachable } } },
-        ActivePlacements{
-            ServiceId{ 18 }, 1, { { AttemptId{ 31 }, BackendServerId{ 17 }, 200, 410, 600ms } } },
+        ActivePlacements{ ServiceId{ 18 },
+                          1,
+                          { { AttemptId{ 31 }, BackendServerId{ 17 }, 200, 410, 3, 600ms } } },
     };
 }
 
--- a/test/PlacementLeasesTest.cpp
+++ b/test/PlacementLeasesTest.cpp
@@ -89,13 +89,13 @@
     };
     const auto isPresent = [](HostId) { return true; };
     const BackendServerId server = place(1);
-    CHECK(fixture.server(server).others.requests == 1);
-    CHECK(fixture.server(server).others.uncachedTokens == 300);
+    CHECK(fixture.server(server).others.total().requests == 1);
+    CHECK(fixture.server(server).others.total().uncachedTokens == 300);
     fixture.leases.receive(
         fixture.now, host,
         PlacementUpdates{ { { AttemptId{ 1 }, PlacementProgress::AnswerStarted } } });
-    CHECK(fixture.server(server).others.uncachedTokens == 0);
-    CHECK(fixture.server(server).others.requests == 1);
+    CHECK(fixture.server(server).others.total().uncachedTokens == 0);
+    CHECK(fixture.server(server).others.total().requests == 1);
     SUBCASE("the request ends")
     {
         const PlacementUpdates end{ { { AttemptId{ 1 }, PlacementProgress::Succeeded } } };
@@ -117,8 +117,8 @@
         fixture.leases.receive(fixture.now, host, ActivePlacements{ engines, 0, {} });
     }
     CHECK(fixture.leases.size() == 0);
-    CHECK(fixture.server(server).others.requests == 0);
-    CHECK(fixture.server(server).others.reservedTokens == 0);
+    CHECK(fixture.server(server).others.total().requests == 0);
+    CHECK(fixture.server(server).others.total().reservedTokens == 0);
 }
 
 TEST_CASE("an engine that fails requests of several hosts is avoided for all hosts")
@@ -159,34 +159,46 @@
     ActivePlacements active{ engines, 0, {} };
     const BackendServerId engine = BackendServerId::ofName("engine-0");
     for (std::uint64_t i = 1; i < attempt; ++i)
-        active.placements.push_back({ AttemptId{ i }, engine, 10, 350, 4s });
+        active.placements.push_back({ AttemptId{ i }, engine, 10, 350, 0, 4s });
     next.leases.receive(next.now, HostId{ 1 }, active);
-    CHECK(next.server(engine).others.requests == attempt - 1);
+    CHECK(next.server(engine).others.total().requests == attempt - 1);
     CHECK_FALSE(
         next.leases.grantRequest(next.now, HostId{ 2 }, requestOf(1, promptOf(9, 100, 200, 1)))
             .server.isValid());
 }
 
-TEST_CASE("an engine's prefill backlog is limited to 1.5 times the target, except for the top tier")
+TEST_CASE("an engine's prefill backlog of a rank and those above it is limited to 1.5 targets")
 {
     OwnerFixture fixture(2);
     std::uint64_t attempt = 0;
-    const auto place = [&](bool isUrgent) {
+    const auto place = [&](std::uint32_t rank, Duration target) {
         ++attempt;
         PlacementGrantRequest request =
             requestOf(attempt, promptOf(1'000 + attempt, 4'000, 4'000, attempt));
         request.isLongPrompt = true;
-        request.isUrgent = isUrgent;
-        request.target = 500ms;
+        request.rank = rank;
+        request.target = target;
         return fixture.leases.grantRequest(fixture.now, HostId{ attempt }, request).server;
     };
-    std::uint32_t placed = 0;
-    while (place(false).isValid() && placed < 100)
-        ++placed;
-    // Two engines prefill 75,000 tokens/s each: together 112,500 within 1.5 times the target.
-    CHECK(placed >= 4);
-    CHECK(placed * 8'000 <= 112'500);
-    CHECK(place(true).isValid());
+    const auto placeAll = [&](std::uint32_t rank, Duration target) {
+        std::uint32_t placed = 0;
+        while (place(rank, target).isValid() && placed < 100)
+            ++placed;
+        return placed;
+    };
+    SUBCASE("with equal targets")
+    {
+        const std::uint32_t placed = placeAll(5, 500ms);
+        // Two engines prefill 75,000 tokens/s each: together 112,500 within 1.5 times the target.
+        CHECK(placed >= 4);
+        CHECK(placed * 8'000 <= 112'500);
+        CHECK(place(3, 500ms).isValid());
+    }
+    SUBCASE("a longer target of less urgent requests does not take the capacity of urgent ones")
+    {
+        CHECK(placeAll(5, 2s) >= 10);
+        CHECK(placeAll(4, 500ms) >= 4);
+    }
 }
 
 TEST_CASE("a request goes to the server that the owner granted, and the owner is sent its progress")
@@ -275,7 +287,8 @@
     }
     CHECK(answered - before <= 40);
     fixture.call("/gate/question", "key", promptOf(8, 200, 100, 99));
-    CHECK(sent<PlacementGrantRequest>(fixture).back().isUrgent);
+    CHECK(sent<PlacementGrantRequest>(fixture).back().rank
+          < sent<PlacementGrantRequest>(fixture).front().rank);
 }
 
 TEST_CASE("an owner without capacity does not block requests for another owner")
--- a/test/ServerPlacementTest.cpp
+++ b/test/ServerPlacementTest.cpp
@@ -134,5 +134,34 @@
     const ForwardServer *server =
         fixture.system.directory().find(BackendServerId::ofName("engine-1"));
     CHECK(server->cache.cachedTokens(promptOf(1, 400, 100, 2)) == 0);
-    CHECK(server->own.requests == 1);
+    CHECK(server->own.total().requests == 1);
+}
+
+TEST_CASE("a server that fails draws no requests because the others are full")
+{
+    ForwardFixture fixture;
+    for (const char *name : { "1", "2", "3" })
+        fixture.addServer(std::string("ledger-") + name, "ledger", "a", 2);
+    ForwardServer &failing = *fixture.system.directory().find(BackendServerId::ofName("ledger-1"));
+    failing.health.recordUnreachable(fixture.now);
+    for (int i = 0; i < 20; ++i)
+        fixture.call("/look/ticket");
+    CHECK(failing.own.total().requests == 0);
+    CHECK(fixture.all<StartForward>().size() > 4);
+    SUBCASE("once it is tried again, it is sent one request until one succeeds")
+    {
+        for (const StartForward &start : fixture.all<StartForward>())
+            fixture.system.onWritten(start.attempt);
+        fixture.advance(500ms);
+        for (int i = 0; i < 20; ++i)
+            fixture.call("/look/ticket");
+        CHECK(failing.own.total().requests == 1);
+    }
+    SUBCASE("it is chosen if there is no other server")
+    {
+        fixture.system.directory().remove("ledger-2");
+        fixture.system.directory().remove("ledger-3");
+        fixture.system.onServersChanged(fixture.now);
+        CHECK(failing.own.total().requests > 0);
+    }
 }
