Bound the bytes of a backend server that never ends its head or body

Cause: nothing bounded the head, an event, an unparsed line or a buffered body of a backend server. A test of eight endless answers took the daemon to 1,354 MB; small chunks cost over 200 bytes each.

Change: heads up to 64 KB, events up to 1 MB, buffered answers up to 8 MB, unparsed bytes up to 1 MB, after which reading is suspended; the connection is closed, the caller gets 502, or 504 at its time limit, never a status that says not run. Bodies are copied, so that small chunks keep no buffer each.

--- a/currantreel/src/Forward/EventStreamReader.h
+++ b/currantreel/src/Forward/EventStreamReader.h
@@ -14,6 +14,9 @@
 class EventStreamReader
 {
 public:
+    /// Maximum size of an event.
+    static constexpr std::size_t maxEventBytes = 1024UL * 1024;
+
     /// @param lastId identifier of the event after which the stream resumes; empty for a new
     /// stream.
     explicit EventStreamReader(std::string lastId = {}) : m_lastId(std::move(lastId)) { }
@@ -29,6 +32,11 @@
     [[nodiscard]] bool isWithinEvent() const { return m_buffer.size() > m_completeBytes; }
     /// True if an identifier was not greater than the previous one.
     [[nodiscard]] bool isOutOfOrder() const { return m_isOutOfOrder; }
+    /// True if the event in progress is longer than an event may be.
+    [[nodiscard]] bool isOversized() const
+    {
+        return m_buffer.size() - m_completeBytes > maxEventBytes;
+    }
     /// Identifier of the last complete event.
     [[nodiscard]] const std::string &lastId() const { return m_lastId; }
 
--- a/currantreel/src/Shell/ForwardHttpServer.cpp
+++ b/currantreel/src/Shell/ForwardHttpServer.cpp
@@ -20,6 +20,8 @@
 /// Connections are kept for the backend server's keep-alive timeout divided by this.
 constexpr int keepAliveDivisor = 2;
 constexpr int firstNonSuccessStatus = 300;
+/// Maximum size of an answer that is buffered until it is complete; a longer one fails the attempt.
+constexpr std::size_t maxBufferedAnswerBytes = 8UL * 1024 * 1024;
 
 HttpHeaders headersOf(evhttp_request *request)
 {
@@ -325,11 +327,15 @@
         return;
     const bool isSuccess = attempt.head.status < firstNonSuccessStatus;
     if (!attempt.isEventStream || !isSuccess) {
-        evbuffer_add_buffer(attempt.body.get(), body);
+        // Copied, since each of many small chunks would keep a buffer of its own.
+        const std::string bytes = drainToString(body);
+        evbuffer_add(attempt.body.get(), bytes.data(), bytes.size());
+        if (evbuffer_get_length(attempt.body.get()) > maxBufferedAnswerBytes)
+            fail(attempt, AttemptFailure::Broken);
         return;
     }
     attempt.events.add(drainToString(body));
-    if (attempt.events.isOutOfOrder()) {
+    if (attempt.events.isOutOfOrder() || attempt.events.isOversized()) {
         fail(attempt, AttemptFailure::Broken);
         return;
     }
--- a/currantreel/src/Shell/OutgoingExchange.cpp
+++ b/currantreel/src/Shell/OutgoingExchange.cpp
@@ -8,6 +8,11 @@
 namespace {
 
 constexpr Duration unlimitedTimeout = std::chrono::hours(24);
+/// Maximum size of the head of a response; a longer one fails the exchange.
+constexpr ev_ssize_t maxHeadBytes = 64L * 1024;
+/// Bytes received and not yet parsed at which reading is suspended, so that a line without an end,
+/// such as a chunk size, takes no more memory.
+constexpr std::size_t maxUnparsedBytes = 1024UL * 1024;
 
 std::string headerOf(const evkeyvalq *headers, const char *name)
 {
@@ -46,7 +51,9 @@
         toTimeval(request.inactivityTimeout == Duration::zero() ? unlimitedTimeout
                                                                 : request.inactivityTimeout);
     evhttp_connection_set_timeout_tv(m_connection.get(), &inactivityTimeout);
+    evhttp_connection_set_max_headers_size(m_connection.get(), maxHeadBytes);
     bufferevent *stream = evhttp_connection_get_bufferevent(m_connection.get());
+    bufferevent_setwatermark(stream, EV_READ, 0, maxUnparsedBytes);
     evbuffer_add_cb(bufferevent_get_output(stream), &OutgoingExchange::onOutput, this);
 
     evhttp_request *outgoing = evhttp_request_new(&OutgoingExchange::onEnd, this);
--- a/test/EventStreamReaderTest.cpp
+++ b/test/EventStreamReaderTest.cpp
@@ -45,3 +45,14 @@
     CHECK(reader.hasComplete());
     CHECK(reader.lastId() == "3");
 }
+
+TEST_CASE("an event without an end is noticed")
+{
+    EventStreamReader reader;
+    const std::string part(64UL * 1024, 'x');
+    reader.add("id: 1\ndata: a\n\n");
+    CHECK_FALSE(reader.isOversized());
+    for (std::size_t bytes = 0; bytes <= EventStreamReader::maxEventBytes; bytes += part.size())
+        reader.add(part);
+    CHECK(reader.isOversized());
+}
--- a/test/process/test_forward.py
+++ b/test/process/test_forward.py
@@ -7,6 +7,7 @@
 import socket
 import subprocess
 import tempfile
+import threading
 import time
 import unittest
 
@@ -299,6 +300,79 @@
         self.assertEqual(self.site.call("/new/x")[0].status, 200)
 
 
+class EndlessServer:
+    """Backend server that answers each request with `start` and then repeats `part` until the peer closes."""
+
+    def __init__(self, address, start, part):
+        host, port = address.split(":")
+        self.listener = socket.create_server((host, int(port)))
+        self.start, self.part = start, part * (65536 // len(part))
+        self.sent = 0
+        self.isClosed = False
+        threading.Thread(target=self.serve, daemon=True).start()
+
+    def serve(self):
+        connection, _ = self.listener.accept()
+        connection.recv(65536)
+        try:
+            connection.sendall(self.start)
+            while True:
+                self.sent += connection.send(self.part)
+        except OSError:
+            self.isClosed = True
+        connection.close()
+        self.listener.close()
+
+
+class Endless(unittest.TestCase):
+    """Bytes that are no answer and come without end, in a head or a body."""
+
+    MOST_MEGABYTES = 96  # of the daemon's memory at its peak; a host may have 160 MB in all
+
+    def test_the_caller_is_told_the_truth_and_the_connection_is_closed(self):
+        head = b"HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nX-Request-Id: %s\r\n"
+        events = head + b"Content-Type: text/event-stream\r\n"
+        cases = {
+            "garbage": ("/pay/x", b"\x00\x01", b"garbage"),
+            "headers": ("/pay/x", head, b"X-Filler: aaaaaaaa\r\n"),
+            "header line": ("/pay/x", head + b"X-Filler: ", b"a"),
+            "body until close": ("/pay/x", head + b"\r\n", b"a"),
+            "chunks": ("/pay/x", head + b"Transfer-Encoding: chunked\r\n\r\n", b"4\r\naaaa\r\n"),
+            "chunk size": ("/pay/x", head + b"Transfer-Encoding: chunked\r\n\r\n", b"0"),
+            "event": ("/stream/once/x", events + b"\r\n", b"a"),
+            "chunked event": ("/stream/once/x", events + b"Transfer-Encoding: chunked\r\n\r\n",
+                              b"4\r\naaaa\r\n"),
+        }
+        site = ForwardSite(hosts=1)
+        try:
+            for number, (name, (path, start, part)) in enumerate(cases.items()):
+                with self.subTest(name):
+                    instance = ("e-" if path.startswith("/stream") else "l-") + "endless-%d" % number
+                    replaced = [other for other in site.servers if other[0] == instance[0]]
+                    for other in replaced:
+                        site.announce(other, state="draining")
+                    site.servers[instance] = site.net + ".9:%d" % (9500 + number)
+                    headers = site.headers()
+                    identifier = headers["X-Request-Id"]
+                    server = EndlessServer(site.servers[instance], start.replace(b"%s", identifier.encode()), part)
+                    site.announce(instance)
+                    time.sleep(1.0)  # by then the host knows of it and of those that leave
+                    answer = request(site.host_address(1, 8740), "POST", path, "x", headers)
+                    self.assertIn(answer.status, (502, 504))
+                    wait_until(lambda server=server: server.isClosed, "the connection is closed")
+                    site.announce(instance, state="draining")
+                    del site.servers[instance]
+                    for other in replaced:
+                        site.announce(other)
+                    wait_until(lambda: site.call("/pay/x")[0].status == 200, "other requests are served")
+            with open("/proc/%d/status" % site.processes["host-1"].pid, encoding="ascii") as status:
+                peak, = [int(line.split()[1]) for line in status if line.startswith("VmHWM")]
+            self.assertLessEqual(peak, self.MOST_MEGABYTES * 1024)
+            self.assertIsNone(site.processes["host-1"].poll())
+        finally:
+            site.close()
+
+
 class Stop(unittest.TestCase):
     def test_a_planned_stop_finishes_what_runs_and_closes_what_is_unused(self):
         site = ForwardSite(hosts=1)
