Few hosts watch the platform while a deployment starts

Whether a host watched depended on whether others reported that they did.

Change: after its listing a host waits 3 s, then watches if fewer than three hosts before it in its failure domain are present and reach the platform. A host that knows no others watches at once.

--- a/currantreel/src/Fleet/FleetMessages.h
+++ b/currantreel/src/Fleet/FleetMessages.h
@@ -19,7 +19,7 @@
     std::uint8_t weight =
         1; ///< Share of the common work that it can take, relative to other hosts.
     bool isLeaving = false; ///< It is in a planned stop.
-    bool watchesPlatform = false; ///< It watches the platform, and the platform answers.
+    bool reachesPlatform = false; ///< The platform answers it, so it can watch for changes.
     bool canOwn = false; ///< It has a configuration and backend servers.
 };
 
--- a/currantreel/src/Fleet/FleetSystem.cpp
+++ b/currantreel/src/Fleet/FleetSystem.cpp
@@ -50,6 +50,9 @@
 constexpr std::size_t maxItemBytes = 128UL * 1024;
 /// Hosts of a failure domain that watch the platform in normal operation.
 constexpr std::size_t watchersPerDomain = 3;
+/// A host does not watch the platform for this long after its start: by then it knows most of the
+/// others, and a whole deployment that starts does not watch at once.
+constexpr Duration startupWatchDelay = 3s;
 /// A host that receives no update for this long watches the platform itself.
 constexpr Duration updateTimeout = 2s;
 /// Time for which an owner that did not answer is excluded; it doubles with each exclusion.
@@ -252,7 +255,8 @@
         return;
     // A host that watches the platform requests a change only if it still lacks it some time after
     // another host has it: its connection may have stopped delivering.
-    const Duration lag = m_description.watchesPlatform ? watchLag : Duration::zero();
+    const bool watchesPlatform = m_description.reachesPlatform && mustWatchPlatform(now);
+    const Duration lag = watchesPlatform ? watchLag : Duration::zero();
     std::vector<HostId> ahead;
     for (auto &[id, host] : m_hosts) {
         if (!isPresent(host, now) || host.revision <= state.revision()) {
@@ -309,11 +313,14 @@
 
 bool FleetSystem::mustWatchPlatform(TimePoint now) const
 {
+    const bool isStarting = !m_isStarted || now - m_startedAt < startupWatchDelay;
+    if (isStarting && !m_hosts.empty())
+        return false;
     if (now - m_lastUpdateAt >= updateTimeout)
         return true;
     const auto isEarlierWatcher = [&](const auto &entry) {
         const Host &host = entry.second;
-        return entry.first < m_id && isPresent(host, now) && host.description.watchesPlatform
+        return entry.first < m_id && isPresent(host, now) && host.description.reachesPlatform
                && !host.description.isLeaving
                && host.description.failureDomain == m_description.failureDomain;
     };
--- a/currantreel/src/Peer/PeerDecoder.cpp
+++ b/currantreel/src/Peer/PeerDecoder.cpp
@@ -261,7 +261,7 @@
     result.heartbeat = host.heartbeat();
     result.weight = host.weight();
     result.isLeaving = host.is_leaving();
-    result.watchesPlatform = host.reads_platform();
+    result.reachesPlatform = host.reads_platform();
     result.canOwn = host.can_own();
     return result;
 }
--- a/currantreel/src/Peer/PeerEncoder.cpp
+++ b/currantreel/src/Peer/PeerEncoder.cpp
@@ -169,7 +169,7 @@
     std::array<std::uint8_t, sizeof(ip)> bytes{};
     std::memcpy(bytes.data(), &ip, sizeof(ip));
     return wire::FleetHost(host.failureDomain.value, host.heartbeat, flatbuffers::make_span(bytes),
-                           host.peerAddress.port, host.weight, host.isLeaving, host.watchesPlatform,
+                           host.peerAddress.port, host.weight, host.isLeaving, host.reachesPlatform,
                            host.canOwn);
 }
 
--- a/currantreel/src/Shell/ForwardDaemon.cpp
+++ b/currantreel/src/Shell/ForwardDaemon.cpp
@@ -408,7 +408,7 @@
     FleetHost self;
     self.failureDomain = FailureDomainId::ofName(m_settings.failureDomain);
     self.weight = weightOf(m_settings.forward->processorShare);
-    self.watchesPlatform = m_isStoreReachable && m_reader.isActive();
+    self.reachesPlatform = m_isStoreReachable;
     self.isLeaving = m_isStopping;
     self.canOwn = isReady();
     return self;
--- a/test/FleetSystemTest.cpp
+++ b/test/FleetSystemTest.cpp
@@ -104,7 +104,7 @@
     Hosts hosts(4);
     hosts.advance(3s);
     for (std::size_t i = 0; i < 3; ++i) {
-        hosts.descriptions[i].watchesPlatform = true;
+        hosts.descriptions[i].reachesPlatform = true;
         hosts.states[i].apply(hosts.now, { PublishedItem{ "a", "x", 7, false } });
     }
     hosts.advance(1s);
@@ -120,7 +120,7 @@
 {
     Hosts hosts(4);
     for (FleetHost &self : hosts.descriptions)
-        self.watchesPlatform = true;
+        self.reachesPlatform = true;
     for (PublishedState &state : hosts.states)
         state.apply(hosts.now, { PublishedItem{ "server", "ready", 6, false } });
     hosts.advance(3s);
@@ -178,7 +178,7 @@
         for (std::size_t i = 0; i < hosts.systems.size(); ++i) {
             const bool isIn = hosts.descriptions[i].failureDomain == FailureDomainId{ domain };
             const bool watches = hosts.systems[i]->mustWatchPlatform(hosts.now);
-            hosts.descriptions[i].watchesPlatform = watches && !hosts.isIsolated[i];
+            hosts.descriptions[i].reachesPlatform = !hosts.isIsolated[i];
             count += isIn && !hosts.isIsolated[i] && watches ? 1 : 0;
         }
         return count;
@@ -199,6 +199,30 @@
     CHECK(watchers(1) == 3);
 }
 
+TEST_CASE("when a large fleet starts, only a few hosts of a failure domain begin to watch")
+{
+    constexpr std::size_t count = 150;
+    constexpr std::size_t domains = 5;
+    Hosts hosts(count);
+    for (std::size_t i = 0; i < count; ++i) {
+        hosts.descriptions[i].failureDomain = FailureDomainId{ 1 + i % domains };
+        hosts.descriptions[i].reachesPlatform = true;
+    }
+    const auto watchers = [&hosts] {
+        return std::count_if(hosts.systems.begin(), hosts.systems.end(), [&](const auto &system) {
+            return system->mustWatchPlatform(hosts.now);
+        });
+    };
+    hosts.advance(2500ms);
+    CHECK(watchers() == 0);
+    for (int i = 0; i < 20; ++i) {
+        hosts.advance(200ms);
+        // Three hosts of each failure domain watch once all hosts know each other.
+        CHECK(watchers() <= 2 * 3 * static_cast<std::ptrdiff_t>(domains));
+    }
+    CHECK(watchers() == 3 * static_cast<std::ptrdiff_t>(domains));
+}
+
 TEST_CASE("a change reaches all hosts of a large fleet within a second, with under two transfers "
           "for each")
 {
