Requests without capacity wait at their owner, in one order of importance

Cause: each host queued by itself and asked the owner again every 20 ms while there was no capacity, one request at a time: the next free slot went to whoever asked first, and a request whose engine was full held up all others of its host.

The host keeps the clock: it withdraws a request that ends, asks again every 500 ms, which also shows a silent owner, and moves to a new owner. Hosts of the version before are answered as before.

--- a/currantreel/src/Forward/ForwardAttempts.cpp
+++ b/currantreel/src/Forward/ForwardAttempts.cpp
@@ -282,15 +282,23 @@
 
 void ForwardSystem::demote(TimePoint now, Call &call)
 {
-    const auto needed =
-        std::chrono::duration_cast<Duration>(call.route->target * timing::neededShareOfTarget);
-    if (call.missesTarget || call.hasBegun || now < call.targetAt - needed)
+    const bool isLate = missesTarget(now, call.targetAt, call.route->target);
+    if (call.missesTarget || call.hasBegun || !isLate)
         return;
     dequeue(call);
     call.missesTarget = true;
     enqueue(call);
 }
 
+void ForwardSystem::checkQueued(TimePoint now, Call &call)
+{
+    const bool hasServers = !m_directory.usable(call.service).empty();
+    if (!hasServers && !call.hasBegun && now >= call.retryAt)
+        refuseOrAbort(now, call, ResultCode::NoBackendServer);
+    else if (now >= call.queuedUntil)
+        refuseOrAbort(now, call, ResultCode::QueueFull);
+}
+
 void ForwardSystem::checkCall(TimePoint now, Call &call)
 {
     if (now >= call.endAt) {
@@ -305,11 +313,7 @@
     }
     if (call.state == State::Queued) {
         demote(now, call);
-        const bool hasServers = !m_directory.usable(call.service).empty();
-        if (!hasServers && !call.hasBegun && now >= call.retryAt)
-            refuseOrAbort(now, call, ResultCode::NoBackendServer);
-        else if (now >= call.queuedUntil)
-            refuseOrAbort(now, call, ResultCode::QueueFull);
+        checkQueued(now, call);
         return;
     }
     if (!call.isWritten && now - call.sentAt >= timing::connectTimeout) {
--- a/currantreel/src/Forward/ForwardOwners.cpp
+++ b/currantreel/src/Forward/ForwardOwners.cpp
@@ -35,8 +35,14 @@
     call.state = State::Requested;
     call.pendingRequest = newAttempt();
     call.requestedOwner = owner;
-    call.requestedAt = now;
     m_ownerRequests[call.pendingRequest] = call.id;
+    sendGrantRequest(now, call);
+}
+
+void ForwardSystem::sendGrantRequest(TimePoint now, Call &call)
+{
+    call.requestedAt = now;
+    call.isQueuedAtOwner = false;
     const PlacementCriteria criteria = criteriaOf(call);
     PlacementGrantRequest request;
     request.attempt = call.pendingRequest;
@@ -50,27 +56,68 @@
     request.rank = criteria.rank;
     request.target = criteria.target;
     request.timeLeft = call.endAt - now;
+    request.waited = now - call.arrivedAt;
+    request.mayWait = true;
     request.avoid = call.tried;
     for (const ForwardServer *server : m_directory.usable(call.service)) {
         if (request.avoid.size() < timing::maxAvoidedServers && m_directory.isAvoided(*server, now))
             request.avoid.push_back(server->id);
     }
-    m_effects.emplace_back(SendToOwner{ owner, std::move(request) });
+    m_effects.emplace_back(SendToOwner{ call.requestedOwner, std::move(request) });
 }
 
 void ForwardSystem::endOwnerRequest(Call &call)
 {
     m_ownerRequests.erase(call.pendingRequest);
     call.pendingRequest = {};
+    call.isQueuedAtOwner = false;
+}
+
+void ForwardSystem::withdrawOwnerRequest(Call &call)
+{
+    m_updates[call.requestedOwner].updates.push_back(
+        { call.pendingRequest, PlacementProgress::Ended });
+    endOwnerRequest(call);
+}
+
+void ForwardSystem::onQueuedAtOwner(TimePoint now, Call &call)
+{
+    call.requestedAt = now;
+    if (call.isQueuedAtOwner)
+        return;
+    call.isQueuedAtOwner = true;
+    DecisionRecord queued = recordOf(now, call, DecisionKind::Queued);
+    queued.owner = call.requestedOwner;
+    addRecord(std::move(queued));
+}
+
+void ForwardSystem::checkOwnerQueue(TimePoint now, Call &call)
+{
+    const auto known = m_owners.find({ call.service, call.partition });
+    const bool isStillOwner = known != m_owners.end() && known->second == call.requestedOwner;
+    if (!isStillOwner) {
+        withdrawOwnerRequest(call);
+        enqueue(call);
+        dispatchQueued(now);
+        return;
+    }
+    // Also tells whether the owner is still there.
+    if (now - call.requestedAt >= timing::ownerQueueRefresh)
+        sendGrantRequest(now, call);
+    checkQueued(now, call);
 }
 
 void ForwardSystem::checkOwnerRequest(TimePoint now, Call &call)
 {
+    if (call.isQueuedAtOwner) {
+        checkOwnerQueue(now, call);
+        return;
+    }
     if (now - call.requestedAt < timing::ownerRequestTimeout)
         return;
     ++m_counters.ownerRequestsUnanswered;
     m_effects.emplace_back(ExcludeOwner{ call.requestedOwner });
-    endOwnerRequest(call);
+    withdrawOwnerRequest(call);
     call.choosesLocally = true;
     enqueue(call);
     dispatchQueued(now);
@@ -93,15 +140,18 @@
             m_updates[from].updates.push_back({ grant.attempt, PlacementProgress::Ended });
         return;
     }
-    endOwnerRequest(*call);
     const Partition partition{ call->service, call->partition };
-    if (!grant.server.isValid()) {
+    if (grant.isQueued) {
+        onQueuedAtOwner(now, *call);
+    } else if (grant.server.isValid()) {
+        endOwnerRequest(*call);
+        m_ownerBackoffs.erase(partition);
+        sendGranted(now, *call, from, grant);
+    } else {
+        endOwnerRequest(*call);
         ++m_counters.ownerRequestsFull;
         m_ownerBackoffs[partition] = OwnerBackoff{ call->rank, now + timing::ownerRetryDelay };
         enqueue(*call);
-    } else {
-        m_ownerBackoffs.erase(partition);
-        sendGranted(now, *call, from, grant);
     }
     Incarnation &known = m_ownerIncarnations[from];
     if (known.isValid() && known != grant.owner)
--- a/currantreel/src/Forward/ForwardSystem.cpp
+++ b/currantreel/src/Forward/ForwardSystem.cpp
@@ -129,9 +129,9 @@
         addRecord(recordOf(now, *pending, DecisionKind::Queued));
 }
 
-QueuePosition ForwardSystem::positionOf(const Call &call) const
+ForwardSystem::Position ForwardSystem::positionOf(const Call &call) const
 {
-    return QueuePosition{ call.rank, call.missesTarget, call.targetAt, call.id };
+    return Position{ call.rank, call.missesTarget, call.targetAt, call.id };
 }
 
 void ForwardSystem::enqueue(Call &call)
@@ -168,7 +168,7 @@
         dispatchQueued(now, queue);
 }
 
-void ForwardSystem::dispatchQueued(TimePoint now, std::set<QueuePosition> &queue)
+void ForwardSystem::dispatchQueued(TimePoint now, std::set<Position> &queue)
 {
     // Strict order: a request never overtakes a more urgent one that found no capacity in the same
     // partition.
@@ -265,11 +265,11 @@
 
 void ForwardSystem::end(RequestId request)
 {
-    const Call *call = m_calls.find(request);
+    Call *call = m_calls.find(request);
     if (call && call->state == State::Queued)
         dequeue(*call);
     if (call && call->pendingRequest.isValid())
-        m_ownerRequests.erase(call->pendingRequest);
+        withdrawOwnerRequest(*call);
     m_calls.remove(request);
 }
 
--- a/currantreel/src/Forward/ForwardSystem.h
+++ b/currantreel/src/Forward/ForwardSystem.h
@@ -5,6 +5,7 @@
 #include "EngineGroups.h"
 #include "ForwardCounters.h"
 #include "ForwardMessages.h"
+#include "QueuePosition.h"
 #include "RetryBudget.h"
 #include "RouteTable.h"
 #include "ServerDirectory.h"
@@ -19,18 +20,6 @@
 
 namespace currantreel {
 
-/// Sort key of queued requests: by tier, then those that can still meet their target before those
-/// that cannot, then by target time.
-struct QueuePosition
-{
-    std::uint32_t rank = 0;
-    bool missesTarget = false; ///< Too late to meet its target.
-    TimePoint targetAt;
-    RequestId request;
-
-    friend auto operator<=>(const QueuePosition &, const QueuePosition &) = default;
-};
-
 /// State machine of forwarded requests from arrival to end: finds the route, queues the request,
 /// chooses a backend server, retries where that is allowed, and refuses requests that cannot be
 /// served.
@@ -91,6 +80,8 @@
     [[nodiscard]] std::size_t queued() const;
 
 private:
+    using Position = QueuePosition<RequestId>;
+
     enum class State : std::uint8_t { Queued, Requested, Sent, Relayed };
 
     struct Call
@@ -109,7 +100,8 @@
         std::size_t partitionCount = 1;
         AttemptId pendingRequest; ///< Request to an owner in flight; invalid if none.
         HostId requestedOwner; ///< Owner that the request was sent to.
-        TimePoint requestedAt;
+        TimePoint requestedAt; ///< When it was last sent, or when the owner queued it.
+        bool isQueuedAtOwner = false; ///< The owner answered that the request waits there.
         bool choosesLocally = false; ///< The owner failed to choose; this host chooses next.
         HostId owner; ///< Holds the lease of the current attempt; invalid if there is none.
         /// Reported to the owner when the attempt ends.
@@ -144,15 +136,20 @@
     [[nodiscard]] Call *callOf(AttemptId attempt);
     void enqueue(Call &call);
     void dequeue(const Call &call);
-    [[nodiscard]] QueuePosition positionOf(const Call &call) const;
+    [[nodiscard]] Position positionOf(const Call &call) const;
     [[nodiscard]] PlacementCriteria criteriaOf(const Call &call) const;
     void dispatchQueued(TimePoint now);
-    void dispatchQueued(TimePoint now, std::set<QueuePosition> &queue);
+    void dispatchQueued(TimePoint now, std::set<Position> &queue);
     void assignPartition(Call &call);
     [[nodiscard]] bool dispatch(TimePoint now, Call &call);
     [[nodiscard]] HostId ownerOf(TimePoint now, const Call &call);
     void requestGrant(TimePoint now, Call &call, HostId owner);
+    void sendGrantRequest(TimePoint now, Call &call);
     void endOwnerRequest(Call &call);
+    void withdrawOwnerRequest(Call &call);
+    void onQueuedAtOwner(TimePoint now, Call &call);
+    void checkOwnerQueue(TimePoint now, Call &call);
+    void checkQueued(TimePoint now, Call &call);
     void sendGranted(TimePoint now, Call &call, HostId owner, const PlacementGrant &grant);
     void checkOwnerRequest(TimePoint now, Call &call);
     [[nodiscard]] bool isBlocked(TimePoint now, const Call &call) const;
@@ -204,7 +201,7 @@
     EngineGroups m_groups;
     Table<Call> m_calls;
     std::unordered_map<AttemptId, RequestId> m_attempts;
-    std::map<ServiceId, std::set<QueuePosition>> m_queues;
+    std::map<ServiceId, std::set<Position>> m_queues;
     std::uint64_t m_nextAttempt = 1;
     ForwardCounters m_counters;
     std::vector<ForwardEffect> m_effects;
--- a/currantreel/src/Forward/ForwardTiming.h
+++ b/currantreel/src/Forward/ForwardTiming.h
@@ -12,6 +12,9 @@
 inline constexpr Duration ownerRequestTimeout = 80ms;
 /// Delay before another request to an owner that reported no capacity.
 inline constexpr Duration ownerRetryDelay = 20ms;
+/// Interval at which a request that waits at its owner is sent to it again, to notice an owner that
+/// is gone.
+inline constexpr Duration ownerQueueRefresh = 500ms;
 /// Servers that a request to an owner lists to avoid, at most.
 inline constexpr std::size_t maxAvoidedServers = 16;
 /// Connection timeout of a backend server; another server is tried after it.
@@ -26,9 +29,6 @@
 inline constexpr Duration retryDelay = 30ms;
 /// Share of its timeout that a request may spend in the queue.
 inline constexpr double maxQueuedShare = 0.5;
-/// Share of its target that a request needs for the answer once it is sent. A queued request with
-/// less time left goes behind the others of its tier.
-inline constexpr double neededShareOfTarget = 0.4;
 /// Retry-After advice to callers.
 inline constexpr Duration defaultRetryAfter = 400ms;
 /// Timeout if neither the caller nor the route states one.
--- a/currantreel/src/Forward/PlacementLeases.cpp
+++ b/currantreel/src/Forward/PlacementLeases.cpp
@@ -19,6 +19,39 @@
 
 PlacementGrant PlacementLeases::grantRequest(TimePoint now, HostId from,
                                              const PlacementGrantRequest &request)
+{
+    if (const auto known = m_leases.find({ from, request.attempt }); known != m_leases.end())
+        return grantOf(request.attempt, known->second);
+    PlacementGrant grant = place(now, from, request);
+    if (!grant.server.isValid() && request.mayWait)
+        grant.isQueued = m_queue.add(now, from, request);
+    return grant;
+}
+
+PlacementGrant PlacementLeases::grantOf(AttemptId attempt, const Lease &lease) const
+{
+    PlacementGrant grant;
+    grant.attempt = attempt;
+    grant.owner = m_incarnation;
+    grant.server = lease.server;
+    grant.uncached = lease.uncached;
+    return grant;
+}
+
+std::vector<std::pair<HostId, PlacementGrant>> PlacementLeases::grantQueued(TimePoint now)
+{
+    std::vector<std::pair<HostId, PlacementGrant>> grants;
+    m_queue.placeAll(now, [&](HostId from, const PlacementGrantRequest &request) {
+        const PlacementGrant grant = place(now, from, request);
+        if (grant.server.isValid())
+            grants.emplace_back(from, grant);
+        return grant.server.isValid();
+    });
+    return grants;
+}
+
+PlacementGrant PlacementLeases::place(TimePoint now, HostId from,
+                                      const PlacementGrantRequest &request)
 {
     PlacementGrant grant;
     grant.attempt = request.attempt;
@@ -52,9 +85,7 @@
     if (request.isLongPrompt)
         m_groups->countPrefill(request.service, now, lease.uncached);
     add({ from, request.attempt }, lease);
-    grant.server = server->id;
-    grant.uncached = lease.uncached;
-    return grant;
+    return grantOf(request.attempt, lease);
 }
 
 void PlacementLeases::add(std::pair<HostId, AttemptId> id, const Lease &lease)
@@ -92,8 +123,10 @@
 {
     for (const PlacementUpdate &update : updates.updates) {
         const auto found = m_leases.find({ from, update.attempt });
-        if (found == m_leases.end())
+        if (found == m_leases.end()) {
+            m_queue.remove({ from, update.attempt });
             continue;
+        }
         Lease &lease = found->second;
         if (update.progress == PlacementProgress::AnswerStarted) {
             recordFirstEvent(now, lease);
@@ -139,6 +172,7 @@
         else
             ++lease;
     }
+    m_queue.removeExpired(now, isPresent);
 }
 
 } // namespace currantreel
--- a/currantreel/src/Forward/PlacementLeases.h
+++ b/currantreel/src/Forward/PlacementLeases.h
@@ -3,6 +3,7 @@
 
 #include "EngineGroups.h"
 #include "PlacementMessages.h"
+#include "PlacementQueue.h"
 #include "ServerDirectory.h"
 #include "ServerPlacement.h"
 #include <functional>
@@ -25,12 +26,16 @@
     /// @param incarnation incarnation of this process; sent with each grant.
     PlacementLeases(ServerDirectory &directory, EngineGroups &groups, Incarnation incarnation);
 
-    /// Chooses a server for a request of @p from and leases it.
+    /// Chooses a server for a request of @p from and leases it. Without capacity, the request is
+    /// queued if it may be. A request that is repeated gets the same answer again.
     /// @return a grant without a server if none has capacity.
     [[nodiscard]] PlacementGrant grantRequest(TimePoint now, HostId from,
                                               const PlacementGrantRequest &request);
 
-    /// Updates or ends leases of @p from, and records what their requests say about server health.
+    /// Grants servers to queued requests that there is capacity for now, in order of importance.
+    [[nodiscard]] std::vector<std::pair<HostId, PlacementGrant>> grantQueued(TimePoint now);
+
+    /// Updates or ends leases of @p from, withdraws its queued requests, and records what their requests say about server health.
     void receive(TimePoint now, HostId from, const PlacementUpdates &updates);
 
     /// Replaces the leases of @p from at the servers of one partition.
@@ -40,6 +45,7 @@
     void run(TimePoint now, const std::function<bool(HostId)> &isPresent);
 
     [[nodiscard]] std::size_t size() const { return m_leases.size(); }
+    [[nodiscard]] std::size_t queued() const { return m_queue.size(); }
 
 private:
     struct Lease
@@ -57,6 +63,9 @@
     };
     using Leases = std::map<std::pair<HostId, AttemptId>, Lease>;
 
+    [[nodiscard]] PlacementGrant place(TimePoint now, HostId from,
+                                       const PlacementGrantRequest &request);
+    [[nodiscard]] PlacementGrant grantOf(AttemptId attempt, const Lease &lease) const;
     void add(std::pair<HostId, AttemptId> id, const Lease &lease);
     void settlePrefill(Lease &lease);
     void recordFirstEvent(TimePoint now, const Lease &lease);
@@ -66,6 +75,7 @@
     EngineGroups *m_groups;
     Incarnation m_incarnation;
     Leases m_leases;
+    PlacementQueue m_queue;
 };
 
 } // namespace currantreel
--- a/currantreel/src/Forward/PlacementMessages.h
+++ b/currantreel/src/Forward/PlacementMessages.h
@@ -23,6 +23,8 @@
     std::uint32_t rank = 0; ///< 0 is the most urgent.
     Duration target{}; ///< Target time to the first event of the answer.
     Duration timeLeft{}; ///< Time until the request's deadline.
+    Duration waited{}; ///< Time since the request arrived.
+    bool mayWait = false; ///< The owner may queue the request until there is capacity.
     std::vector<BackendServerId> avoid; ///< Servers that failed the request or appear unreachable.
 };
 
@@ -35,6 +37,7 @@
     /// Incarnation of the owner's process; a changed one means that it restarted and lost its
     /// leases.
     Incarnation owner;
+    bool isQueued = false; ///< The owner has queued the request; a grant follows.
 };
 
 /// Progress of a request at the server that the owner granted.
--- a/currantreel/src/Peer/Generated/PeerMessage_generated.h
+++ b/currantreel/src/Peer/Generated/PeerMessage_generated.h
@@ -2873,7 +2873,9 @@
     VT_TIME_LEFT_US = 26,
     VT_AVOID = 28,
     VT_TARGET_US = 30,
-    VT_RANK = 32
+    VT_RANK = 32,
+    VT_WAITED_US = 34,
+    VT_MAY_WAIT = 36
   };
   uint64_t attempt() const {
     return GetField<uint64_t>(VT_ATTEMPT, 0);
@@ -2917,6 +2919,12 @@
   uint8_t rank() const {
     return GetField<uint8_t>(VT_RANK, 9);
   }
+  int64_t waited_us() const {
+    return GetField<int64_t>(VT_WAITED_US, 0);
+  }
+  bool may_wait() const {
+    return GetField<uint8_t>(VT_MAY_WAIT, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
@@ -2935,6 +2943,8 @@
            verifier.VerifyVector(avoid()) &&
            VerifyField<int64_t>(verifier, VT_TARGET_US, 8) &&
            VerifyField<uint8_t>(verifier, VT_RANK, 1) &&
+           VerifyField<int64_t>(verifier, VT_WAITED_US, 8) &&
+           VerifyField<uint8_t>(verifier, VT_MAY_WAIT, 1) &&
            verifier.EndTable();
   }
 };
@@ -2985,6 +2995,12 @@
   void add_rank(uint8_t rank) {
     fbb_.AddElement<uint8_t>(PlacementAsk::VT_RANK, rank, 9);
   }
+  void add_waited_us(int64_t waited_us) {
+    fbb_.AddElement<int64_t>(PlacementAsk::VT_WAITED_US, waited_us, 0);
+  }
+  void add_may_wait(bool may_wait) {
+    fbb_.AddElement<uint8_t>(PlacementAsk::VT_MAY_WAIT, static_cast<uint8_t>(may_wait), 0);
+  }
   explicit PlacementAskBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3011,8 +3027,11 @@
     int64_t time_left_us = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> avoid = 0,
     int64_t target_us = 0,
-    uint8_t rank = 9) {
+    uint8_t rank = 9,
+    int64_t waited_us = 0,
+    bool may_wait = false) {
   PlacementAskBuilder builder_(_fbb);
+  builder_.add_waited_us(waited_us);
   builder_.add_target_us(target_us);
   builder_.add_time_left_us(time_left_us);
   builder_.add_bytes(bytes);
@@ -3025,6 +3044,7 @@
   builder_.add_prompt(prompt);
   builder_.add_parts(parts);
   builder_.add_part(part);
+  builder_.add_may_wait(may_wait);
   builder_.add_rank(rank);
   builder_.add_is_long_prompt(is_long_prompt);
   return builder_.Finish();
@@ -3050,7 +3070,9 @@
     int64_t time_left_us = 0,
     const std::vector<uint64_t> *avoid = nullptr,
     int64_t target_us = 0,
-    uint8_t rank = 9) {
+    uint8_t rank = 9,
+    int64_t waited_us = 0,
+    bool may_wait = false) {
   auto prompt__ = prompt ? _fbb.CreateVectorOfStructs<currantreel::wire::PromptPart>(*prompt) : 0;
   auto avoid__ = avoid ? _fbb.CreateVector<uint64_t>(*avoid) : 0;
   return currantreel::wire::CreatePlacementAsk(
@@ -3068,7 +3090,9 @@
       time_left_us,
       avoid__,
       target_us,
-      rank);
+      rank,
+      waited_us,
+      may_wait);
 }
 
 struct PlacementGrant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3078,7 +3102,8 @@
     VT_ATTEMPT = 4,
     VT_SERVER = 6,
     VT_UNREAD = 8,
-    VT_OWNER = 10
+    VT_OWNER = 10,
+    VT_IS_QUEUED = 12
   };
   uint64_t attempt() const {
     return GetField<uint64_t>(VT_ATTEMPT, 0);
@@ -3092,12 +3117,16 @@
   uint64_t owner() const {
     return GetField<uint64_t>(VT_OWNER, 0);
   }
+  bool is_queued() const {
+    return GetField<uint8_t>(VT_IS_QUEUED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
            VerifyField<uint64_t>(verifier, VT_SERVER, 8) &&
            VerifyField<uint32_t>(verifier, VT_UNREAD, 4) &&
            VerifyField<uint64_t>(verifier, VT_OWNER, 8) &&
+           VerifyField<uint8_t>(verifier, VT_IS_QUEUED, 1) &&
            verifier.EndTable();
   }
 };
@@ -3118,6 +3147,9 @@
   void add_owner(uint64_t owner) {
     fbb_.AddElement<uint64_t>(PlacementGrant::VT_OWNER, owner, 0);
   }
+  void add_is_queued(bool is_queued) {
+    fbb_.AddElement<uint8_t>(PlacementGrant::VT_IS_QUEUED, static_cast<uint8_t>(is_queued), 0);
+  }
   explicit PlacementGrantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3134,12 +3166,14 @@
     uint64_t attempt = 0,
     uint64_t server = 0,
     uint32_t unread = 0,
-    uint64_t owner = 0) {
+    uint64_t owner = 0,
+    bool is_queued = false) {
   PlacementGrantBuilder builder_(_fbb);
   builder_.add_owner(owner);
   builder_.add_server(server);
   builder_.add_attempt(attempt);
   builder_.add_unread(unread);
+  builder_.add_is_queued(is_queued);
   return builder_.Finish();
 }
 
--- a/currantreel/src/Peer/PeerDecoder.cpp
+++ b/currantreel/src/Peer/PeerDecoder.cpp
@@ -297,6 +297,8 @@
     request.rank = table.rank();
     request.target = reader.time(table.target_us());
     request.timeLeft = reader.time(table.time_left_us());
+    request.waited = reader.time(table.waited_us());
+    request.mayWait = table.may_wait();
     if (!isAligned(table.prompt()) || !isAligned(table.avoid()))
         reader.reject();
     if (!reader.isValid())
@@ -314,8 +316,13 @@
 
 PlacementGrant decode(FieldReader & /*reader*/, const wire::PlacementGrant &table)
 {
-    return PlacementGrant{ AttemptId{ table.attempt() }, BackendServerId{ table.server() },
-                           table.unread(), Incarnation{ table.owner() } };
+    PlacementGrant grant;
+    grant.attempt = AttemptId{ table.attempt() };
+    grant.server = BackendServerId{ table.server() };
+    grant.isQueued = table.is_queued();
+    grant.uncached = table.unread();
+    grant.owner = Incarnation{ table.owner() };
+    return grant;
 }
 
 PlacementUpdates decode(FieldReader &reader, const wire::PlacementNotes &table)
--- a/currantreel/src/Peer/PeerEncoder.cpp
+++ b/currantreel/src/Peer/PeerEncoder.cpp
@@ -205,13 +205,15 @@
         builder, message.attempt.value, message.service.value, message.partition,
         message.partitionCount, message.failureDomain.value, promptVector, message.prompt.tokens,
         message.prompt.maxAnswerTokens, message.bytes, message.isLongPrompt,
-        message.timeLeft.count(), avoidVector, message.target.count(), toWireRank(message.rank)));
+        message.timeLeft.count(), avoidVector, message.target.count(), toWireRank(message.rank),
+        message.waited.count(), message.mayWait));
 }
 
 EncodedBody encode(Builder &builder, const PlacementGrant &message)
 {
     return bodyOf(wire::CreatePlacementGrant(builder, message.attempt.value, message.server.value,
-                                             message.uncached, message.owner.value));
+                                             message.uncached, message.owner.value,
+                                             message.isQueued));
 }
 
 EncodedBody encode(Builder &builder, const PlacementUpdates &message)
--- a/currantreel/src/Shell/ForwardDaemon.cpp
+++ b/currantreel/src/Shell/ForwardDaemon.cpp
@@ -18,6 +18,8 @@
 constexpr int exitStopTimedOut = 4;
 
 constexpr Duration tickInterval = 25ms;
+/// Minimum time between two passes over the requests that wait here as at their owner.
+constexpr Duration minQueuePassInterval = 10ms;
 /// Interval at which the settings file is checked for changes.
 constexpr Duration settingsCheckInterval = 2s;
 /// Time after the start of a graceful shutdown during which new connections are still accepted,
@@ -199,6 +201,7 @@
     runFleet(time);
     m_system.run(time);
     applyEffects();
+    grantQueued(time);
     checkSettingsFile(time);
     logReadiness();
     if (m_isStopping)
@@ -374,9 +377,19 @@
 
 void ForwardDaemon::receive(HostId from, const PlacementUpdates &updates)
 {
-    m_leases.receive(steadyNow(), from, updates);
-    m_system.onServersChanged(steadyNow());
+    const TimePoint now = steadyNow();
+    m_leases.receive(now, from, updates);
+    m_system.onServersChanged(now);
     applyEffects();
+    if (now - m_queuePassAt >= minQueuePassInterval)
+        grantQueued(now);
+}
+
+void ForwardDaemon::grantQueued(TimePoint now)
+{
+    m_queuePassAt = now;
+    for (const auto &[host, grant] : m_leases.grantQueued(now))
+        m_peers.send(host, m_fleet.addressOf(host), grant);
 }
 
 void ForwardDaemon::receive(HostId from, const ActivePlacements &placements)
--- a/currantreel/src/Shell/ForwardDaemon.h
+++ b/currantreel/src/Shell/ForwardDaemon.h
@@ -58,6 +58,7 @@
     {
     }
     void runFleet(TimePoint now);
+    void grantQueued(TimePoint now);
     void sendFleet(TimePoint now);
     [[nodiscard]] FleetHost describeSelf() const;
     void onStoreFailed(ReadFailure failure, const std::string &detail);
@@ -105,6 +106,7 @@
     bool m_wasReady = false;
     std::size_t m_loggedHostCount = 0; ///< Value last logged.
     TimePoint m_peersLoggedAt;
+    TimePoint m_queuePassAt; ///< When queued requests of other hosts were last granted.
 };
 
 } // namespace currantreel
