A planned stop answers requests on the connections that it accepted last

Cause: 3 s after SIGTERM the daemon closed its listener and ended in the same turn. Requests on connections accepted just before, and those still to be accepted, were cut off without an answer.

Change: the listener is closed once no request has arrived for 300 ms, 5 s after SIGTERM at the latest, and the daemon ends after another quiet 300 ms.

--- a/currantreel/src/Shell/ForwardDaemon.cpp
+++ b/currantreel/src/Shell/ForwardDaemon.cpp
@@ -25,6 +25,12 @@
 /// Time after the start of a graceful shutdown during which new connections are still accepted,
 /// because the platform still routes them to this host.
 constexpr Duration stopAcceptTime = 3000ms;
+/// Time without a new request after which connections are no longer accepted, and again the daemon
+/// ends, so that no request is cut off on a connection that was accepted last.
+constexpr Duration stopQuietTime = 300ms;
+/// Time after the start of a graceful shutdown at which connections are no longer accepted, even if
+/// requests still arrive.
+constexpr Duration maxStopAcceptTime = 5s;
 /// Time before the end of the grace time at which the remaining requests are cut off.
 constexpr Duration forcedStopMargin = 300ms;
 /// Number of hosts assumed to share the retry budget as long as no peer has been heard of.
@@ -242,9 +248,14 @@
 void ForwardDaemon::checkStop(TimePoint time)
 {
     const Duration since = time - m_stopStarted;
-    if (since >= stopAcceptTime)
+    const bool isQuiet = time - m_callers.lastRequestAt() >= stopQuietTime;
+    const bool endsAccepting = since >= stopAcceptTime && (isQuiet || since >= maxStopAcceptTime);
+    if (endsAccepting && m_callers.isAccepting()) {
         m_callers.refuseNewRequests();
-    const bool isDone = since >= stopAcceptTime && !m_callers.isBusy();
+        m_acceptEndedAt = time;
+    }
+    const bool isDone = !m_callers.isAccepting() && isQuiet
+                        && time - m_acceptEndedAt >= stopQuietTime && !m_callers.isBusy();
     if (isDone || since >= m_settings.stopGrace - forcedStopMargin)
         event_base_loopexit(m_base.get(), nullptr);
 }
--- a/currantreel/src/Shell/ForwardDaemon.h
+++ b/currantreel/src/Shell/ForwardDaemon.h
@@ -99,6 +99,7 @@
     EventHandle m_interrupt;
     EventHandle m_hangup;
     TimePoint m_stopStarted;
+    TimePoint m_acceptEndedAt; ///< When new connections were last accepted in a graceful shutdown.
     TimePoint m_settingsCheckedAt;
     bool m_isApplyingEffects = false;
     bool m_isStopping = false;
--- a/currantreel/src/Shell/ForwardHttpServer.cpp
+++ b/currantreel/src/Shell/ForwardHttpServer.cpp
@@ -168,6 +168,7 @@
 {
     evhttp_connection *connection = evhttp_request_get_connection(request);
     m_idle.erase(connection);
+    m_lastRequestAt = steadyNow();
     evhttp_connection_set_closecb(connection, nullptr, nullptr);
     evhttp_request_set_on_complete_cb(request, &ForwardHttpServer::onReplySent, this);
     if (m_isRefusing) {
--- a/currantreel/src/Shell/ForwardHttpServer.h
+++ b/currantreel/src/Shell/ForwardHttpServer.h
@@ -52,6 +52,9 @@
     [[nodiscard]] std::size_t exchanges() const { return m_exchanges.size(); }
     /// True while requests are in progress or replies are not completely sent.
     [[nodiscard]] bool isBusy() const { return !m_exchanges.empty() || !m_sending.empty(); }
+    [[nodiscard]] bool isAccepting() const { return m_socket != nullptr; }
+    /// When the last request arrived.
+    [[nodiscard]] TimePoint lastRequestAt() const { return m_lastRequestAt; }
     [[nodiscard]] const ConnectionPool &pool() const { return m_pool; }
 
 private:
@@ -95,6 +98,7 @@
     std::set<evhttp_connection *> m_idle; ///< Callers' idle connections, kept alive.
     std::vector<evhttp_connection *> m_aborted; ///< Aborted; closed outside of callbacks.
     std::uint64_t m_nextRequest = 1;
+    TimePoint m_lastRequestAt;
     Duration m_idleTimeout{};
     bool m_isStopping = false;
     bool m_isRefusing = false;
--- a/test/process/test_forward.py
+++ b/test/process/test_forward.py
@@ -395,6 +395,45 @@
         finally:
             site.close()
 
+    def test_requests_that_arrive_until_the_end_of_a_planned_stop_are_answered(self):
+        site = ForwardSite(hosts=1)
+        outcomes = []
+        is_over = threading.Event()
+
+        def keep_calling():
+            while not is_over.is_set():
+                text = "".join("%s: %s\r\n" % item for item in site.headers().items())
+                try:
+                    connection = open_socket(site.host_address(1, 8740))
+                except OSError:
+                    time.sleep(0.01)
+                    continue
+                received = b""
+                try:
+                    connection.sendall(("POST /pay/x HTTP/1.1\r\n%sContent-Length: 0\r\n\r\n" % text).encode())
+                    received = connection.recv(65536)
+                except OSError:
+                    pass
+                connection.close()
+                outcomes.append(received[:12])
+
+        threads = [threading.Thread(target=keep_calling, daemon=True) for _ in range(64)]
+        try:
+            for thread in threads:
+                thread.start()
+            time.sleep(0.5)
+            site.processes["host-1"].send_signal(signal.SIGTERM)
+            time.sleep(3.5)  # callers take that long to turn to other hosts
+            is_over.set()
+            self.assertEqual(site.processes["host-1"].wait(timeout=30), 0)
+            for thread in threads:
+                thread.join()
+            self.assertGreater(len(outcomes), 100)
+            self.assertEqual([answer for answer in outcomes if not answer.startswith(b"HTTP/1.1 ")], [])
+        finally:
+            is_over.set()
+            site.close()
+
     def test_a_host_that_starts_while_the_store_is_down_gets_all_from_its_peers(self):
         site = ForwardSite(hosts=1)
         try:
