Requests queue at the engine that has their prefix; repeated prefill needs a free slot

Change: up to twice the slots at the engine that has the prefix, repeated prefill only where a slot is free and up to 0.2 targets of backlog.

--- a/currantreel/src/Forward/ServerDirectory.cpp
+++ b/currantreel/src/Forward/ServerDirectory.cpp
@@ -7,13 +7,13 @@
 
 namespace {
 
-/// Requests that an engine is sent beyond its slots, as a share of the slots. They wait in the
-/// engine's queue, since the engine knows its own state best.
-constexpr double engineQueueShare = 0.5;
+/// Requests that an engine is sent beyond its slots, as a share of the slots. They fill slots that
+/// become free before their end is reported; others wait where all engines are known.
+constexpr double engineQueueShare = 1.0;
 /// The same for services without model engines, whose queues are short.
 constexpr double serviceQueueShare = 1.0;
 /// The same for requests of all ranks, so that urgent ones are sent beside less urgent ones.
-constexpr double maxQueueShare = 1.0;
+constexpr double maxQueueShare = 1.5;
 /// Maximum number of servers of a service in one partition.
 constexpr std::size_t maxServersPerPartition = 96;
 
--- a/currantreel/src/Forward/ServerPlacement.cpp
+++ b/currantreel/src/Forward/ServerPlacement.cpp
@@ -36,7 +36,7 @@
 /// The same for a request that the engine would have to prefill although another engine has it
 /// cached. With a higher limit, one engine's overload evicts prefixes at all others, whose prefill
 /// then costs more than is gained.
-constexpr double maxRepeatedPrefillTargets = 0.4;
+constexpr double maxRepeatedPrefillTargets = 0.2;
 /// Share of a prompt from which prefilling it again counts as repeated prefill.
 constexpr double minRepeatedShare = 0.25;
 
@@ -131,6 +131,8 @@
     const bool isRepeatedPrefill =
         candidate.uncached - choice.minUncached
         > minRepeatedShare * static_cast<double>(criteria.prompt->tokens);
+    if (isRepeatedPrefill && server.load().requests >= server.announced.slots)
+        return false;
     const double maxTargets = isRepeatedPrefill ? maxRepeatedPrefillTargets : maxBacklogTargets;
     const double maxSeconds = maxTargets * std::chrono::duration<double>(criteria.target).count();
     if (maxSeconds > 0.0 && ahead.uncachedTokens > 0 && backlogSeconds > maxSeconds)
