Owners that answer are not excluded; a waiting request is not sent again while its owner answers

Each new owner knows nothing of what is cached: 4,230 of 8,279 long prompts were prefilled whole, and long prompts met streams at all engines. owner_silent and owner_taken_over also had the log field host twice.

Change: an owner gets an eighth of the target, 80 to 250 ms; it is excluded only if nothing came from it for as long. A request that waits at its owner is sent again after 500 ms only if the owner was silent, and at once if it restarted; after 2 s in any case. The log fields are owner and from.

--- a/currantreel/src/Forward/ForwardOwners.cpp
+++ b/currantreel/src/Forward/ForwardOwners.cpp
@@ -8,6 +8,18 @@
 
 namespace currantreel {
 
+namespace {
+
+/// Time for which a request with @p target waits for its owner's answer.
+Duration ownerTimeout(Duration target)
+{
+    const auto share =
+        std::chrono::duration_cast<Duration>(target * timing::ownerRequestShareOfTarget);
+    return std::clamp(share, timing::ownerRequestTimeout, timing::maxOwnerRequestTimeout);
+}
+
+} // namespace
+
 void ForwardSystem::assignPartition(Call &call)
 {
     if (!m_ownerOf || !call.route->hasPrompt)
@@ -91,6 +103,21 @@
     addRecord(std::move(queued));
 }
 
+Duration ForwardSystem::timeSinceHeard(TimePoint now, HostId owner) const
+{
+    const auto found = m_ownerContacts.find(owner);
+    return found == m_ownerContacts.end() ? Duration::max() : now - found->second.heardAt;
+}
+
+void ForwardSystem::onOwnerRestarted(TimePoint now, HostId owner)
+{
+    // Its queue is lost.
+    for (Call &call : m_calls) {
+        if (call.isQueuedAtOwner && call.requestedOwner == owner)
+            sendGrantRequest(now, call);
+    }
+}
+
 void ForwardSystem::checkOwnerQueue(TimePoint now, Call &call)
 {
     const auto known = m_owners.find({ call.service, call.partition });
@@ -101,8 +128,10 @@
         dispatchQueued(now);
         return;
     }
-    // Also tells whether the owner is still there.
-    if (now - call.requestedAt >= timing::ownerQueueRefresh)
+    const Duration waited = now - call.requestedAt;
+    const bool isOwnerQuiet = timeSinceHeard(now, call.requestedOwner) >= timing::ownerQueueRefresh;
+    const bool isDue = isOwnerQuiet && waited >= timing::ownerQueueRefresh;
+    if (isDue || waited >= timing::lostMessageRefresh)
         sendGrantRequest(now, call);
     checkQueued(now, call);
 }
@@ -113,10 +142,12 @@
         checkOwnerQueue(now, call);
         return;
     }
-    if (now - call.requestedAt < timing::ownerRequestTimeout)
+    const Duration timeout = ownerTimeout(call.route->target);
+    if (now - call.requestedAt < timeout)
         return;
     ++m_counters.ownerRequestsUnanswered;
-    m_effects.emplace_back(ExcludeOwner{ call.requestedOwner });
+    if (timeSinceHeard(now, call.requestedOwner) >= timeout)
+        m_effects.emplace_back(ExcludeOwner{ call.requestedOwner });
     withdrawOwnerRequest(call);
     call.choosesLocally = true;
     enqueue(call);
@@ -132,6 +163,9 @@
 
 void ForwardSystem::onGrant(TimePoint now, HostId from, const PlacementGrant &grant)
 {
+    OwnerContact &contact = m_ownerContacts[from];
+    const bool isRestarted = contact.incarnation.isValid() && contact.incarnation != grant.owner;
+    contact = OwnerContact{ grant.owner, now };
     const auto found = m_ownerRequests.find(grant.attempt);
     Call *call = found == m_ownerRequests.end() ? nullptr : m_calls.find(found->second);
     if (!call) {
@@ -153,10 +187,10 @@
         m_ownerBackoffs[partition] = OwnerBackoff{ call->rank, now + timing::ownerRetryDelay };
         enqueue(*call);
     }
-    Incarnation &known = m_ownerIncarnations[from];
-    if (known.isValid() && known != grant.owner)
+    if (isRestarted) {
+        onOwnerRestarted(now, from);
         sendActivePlacements(now, from, partition.first, partition.second);
-    known = grant.owner;
+    }
     if (grant.server.isValid())
         dispatchQueued(now);
 }
--- a/currantreel/src/Forward/ForwardSystem.h
+++ b/currantreel/src/Forward/ForwardSystem.h
@@ -149,6 +149,8 @@
     void withdrawOwnerRequest(Call &call);
     void onQueuedAtOwner(TimePoint now, Call &call);
     void checkOwnerQueue(TimePoint now, Call &call);
+    void onOwnerRestarted(TimePoint now, HostId owner);
+    [[nodiscard]] Duration timeSinceHeard(TimePoint now, HostId owner) const;
     void checkQueued(TimePoint now, Call &call);
     void sendGranted(TimePoint now, Call &call, HostId owner, const PlacementGrant &grant);
     void checkOwnerRequest(TimePoint now, Call &call);
@@ -180,6 +182,12 @@
 
     /// Partition of a service's servers.
     using Partition = std::pair<ServiceId, std::size_t>;
+    /// What this host last received from an owner.
+    struct OwnerContact
+    {
+        Incarnation incarnation;
+        TimePoint heardAt;
+    };
     /// Backoff of a partition whose owner reported no capacity.
     struct OwnerBackoff
     {
@@ -191,7 +199,7 @@
     std::mt19937_64 m_random;
     OwnerLookup m_ownerOf;
     std::map<Partition, HostId> m_owners; ///< Owners as last looked up.
-    std::map<HostId, Incarnation> m_ownerIncarnations;
+    std::map<HostId, OwnerContact> m_ownerContacts;
     std::map<Partition, OwnerBackoff> m_ownerBackoffs;
     std::map<HostId, PlacementUpdates> m_updates; ///< Sent by the next run().
     std::unordered_map<AttemptId, RequestId> m_ownerRequests;
--- a/currantreel/src/Forward/ForwardTiming.h
+++ b/currantreel/src/Forward/ForwardTiming.h
@@ -8,13 +8,18 @@
 
 using namespace std::chrono_literals;
 
-/// Wait for an owner's grant before this host chooses a server itself.
+/// Wait for an owner's grant before this host chooses a server itself: a share of the request's
+/// target, within bounds.
+inline constexpr double ownerRequestShareOfTarget = 0.125;
 inline constexpr Duration ownerRequestTimeout = 80ms;
+inline constexpr Duration maxOwnerRequestTimeout = 250ms;
 /// Delay before another request to an owner that reported no capacity.
 inline constexpr Duration ownerRetryDelay = 20ms;
-/// Interval at which a request that waits at its owner is sent to it again, to notice an owner that
-/// is gone.
+/// Time after which a request that waits at its owner is sent to it again if nothing was received
+/// from the owner meanwhile, to notice one that is gone.
 inline constexpr Duration ownerQueueRefresh = 500ms;
+/// The same for an owner that answers, in case a message about the request was lost.
+inline constexpr Duration lostMessageRefresh = 2s;
 /// Servers that a request to an owner lists to avoid, at most.
 inline constexpr std::size_t maxAvoidedServers = 16;
 /// Connection timeout of a backend server; another server is tried after it.
--- a/currantreel/src/Shell/ForwardDaemon.cpp
+++ b/currantreel/src/Shell/ForwardDaemon.cpp
@@ -407,7 +407,7 @@
 {
     m_leases.receive(steadyNow(), from, placements);
     m_log.write("owner_taken_over",
-                { { "host", hexOf(from) },
+                { { "from", hexOf(from) },
                   { "part", std::to_string(placements.partition) },
                   { "requests", std::to_string(placements.placements.size()) } });
 }
@@ -424,7 +424,7 @@
 void ForwardDaemon::handle(const ExcludeOwner &effect)
 {
     if (m_fleet.exclude(steadyNow(), effect.owner))
-        m_log.write("owner_silent", { { "host", hexOf(effect.owner) } });
+        m_log.write("owner_silent", { { "owner", hexOf(effect.owner) } });
 }
 
 FleetHost ForwardDaemon::describeSelf() const
--- a/test/PlacementLeasesTest.cpp
+++ b/test/PlacementLeasesTest.cpp
@@ -249,6 +249,23 @@
     CHECK(sent<PlacementUpdates>(fixture).back().updates.front().attempt == late);
 }
 
+TEST_CASE("an owner that answers other requests is not excluded for a late answer")
+{
+    OwnerFixture fixture;
+    fixture.system.setOwnerLookup([](TimePoint, ServiceId, std::size_t) { return owner; });
+    fixture.call("/gate/question", "key", promptOf(7, 200, 100, 1));
+    fixture.advance(50ms);
+    fixture.call("/gate/question", "key", promptOf(7, 200, 100, 2));
+    fixture.system.onGrant(fixture.now, owner,
+                           PlacementGrant{ sent<PlacementGrantRequest>(fixture).back().attempt,
+                                           BackendServerId::ofName("engine-2"), 300,
+                                           Incarnation{ 5 } });
+    fixture.advance(50ms);
+    // The first request was placed by its host.
+    CHECK(fixture.all<StartForward>().size() == 2);
+    CHECK(fixture.all<ExcludeOwner>().empty());
+}
+
 TEST_CASE(
     "no attempt is started if the caller disconnects while a request to the owner is in flight")
 {
@@ -472,6 +489,18 @@
         CHECK(fixture.all<StartForward>().size() == 1);
         CHECK(isWithdrawn());
     }
+    SUBCASE("is sent again at once when the owner restarted and lost its queue")
+    {
+        const std::size_t before = sent<PlacementGrantRequest>(fixture).size();
+        fixture.call("/gate/question", "key", promptOf(7, 200, 100, 2));
+        const AttemptId second = sent<PlacementGrantRequest>(fixture).back().attempt;
+        fixture.system.onGrant(
+            fixture.now, owner,
+            PlacementGrant{ second, BackendServerId::ofName("engine-2"), 300, Incarnation{ 6 } });
+        fixture.collectEffects();
+        REQUIRE(sent<PlacementGrantRequest>(fixture).size() == before + 2);
+        CHECK(sent<PlacementGrantRequest>(fixture).back().attempt == attempt);
+    }
     SUBCASE("goes to the new owner when that changes")
     {
         currentOwner = HostId::ofName("next");
