--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Runs clang-tidy in parallel on the given files, or on all sources except generated code.
+# Runs clang-tidy in parallel on the given files, or on all sources except generated code. A file that
+# passed before with the same contents, headers, checks and command is skipped.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 # Uses a separate build tree without precompiled headers: clang cannot read another compiler's.
@@ -9,7 +10,10 @@
 else
     mapfile -t sources < <(git ls-files -co --exclude-standard '*.cpp' | grep -v '/Generated/')
 fi
-printf '%s\n' "${sources[@]}" | xargs -P "$(nproc)" -n 1 clang-tidy -p build-lint --quiet \
+export CURRANTREEL_LINT_CACHE=${XDG_CACHE_HOME:-$HOME/.cache}/currantreel-lint
+mkdir -p "$CURRANTREEL_LINT_CACHE"
+find "$CURRANTREEL_LINT_CACHE" -type f -mtime +30 -delete
+printf '%s\n' "${sources[@]}" | xargs -P "$(nproc)" -n 1 scripts/lint-file.py \
     > build-lint/lint.log 2>&1 && exit 0
 grep -v -E 'warnings? generated|^Suppressed|^Use -header-filter' build-lint/lint.log
 exit 1
