Queues at engines are limited by the expected wait; engines are divided from the start

They were granted within 10 ms, and then waited at the engine: 800 to 1,300 ms until the first event, with a target of 400 ms. A request beyond the slots cost as much as 1,000 prompt tokens, about 13 ms, which was fitted on engines of 64 slots; with 12 slots and answers of 1.5 s it waits 125 ms. So six of them queued at an engine for short prompts before one went to a free slot of the other group, and up to twice the slots were sent to one engine, first come, first served, so that all of them were late. In the first seconds nearly all streams paused too long: engines were not divided between long and short prompts until the first streams had ended.

Change: the mean time for which a request holds a slot is measured per service. A request beyond the slots costs the time until it gets one, and is sent to an engine only if that is up to 0.4 targets; others wait at the owner, where those that can still meet their target go first. Engines are divided by the streams that were placed and their expected time.

Tests: two new ones, which fail with the old cost and without the limit (18 sent in place of 14, 6 at an engine of 4 slots). Two were changed: one ended requests after no time at all, which now counts as a measurement, and repeated a request with another target; one looked at the last request sent, which may be a long prompt that was waiting, and now looks at the question itself.

--- a/currantreel/src/Forward/EngineGroups.cpp
+++ b/currantreel/src/Forward/EngineGroups.cpp
@@ -17,6 +17,12 @@
 constexpr double minStreamShare = 0.01;
 /// Minimum work for a change of the split, in engine seconds.
 constexpr double minWork = 1.0;
+/// Assumed time for which a request holds a slot, and its weight as a number of requests.
+constexpr double assumedSlotSeconds = 0.5;
+constexpr double assumedSlotTimeWeight = 2.0;
+/// Assumed time of a stream, and its weight as a number of streams.
+constexpr double assumedStreamSeconds = 1.0;
+constexpr double assumedStreamWeight = 2.0;
 /// Minimum change of the share that moves engines between the groups.
 constexpr double shareHysteresis = 0.12;
 
@@ -45,9 +51,38 @@
     m_work[service].prefillTokens.add(now, uncachedTokens);
 }
 
+void EngineGroups::countStreamStart(ServiceId service, TimePoint now)
+{
+    m_work[service].startedStreams.add(now, 1.0);
+}
+
 void EngineGroups::countStream(ServiceId service, TimePoint now, Duration time)
 {
-    m_work[service].streamSeconds.add(now, secondsOf(time));
+    Work &work = m_work[service];
+    work.streamSeconds.add(now, secondsOf(time));
+    work.endedStreams.add(now, 1.0);
+}
+
+double EngineGroups::Work::expectedStreamSeconds(TimePoint now) const
+{
+    const double seconds = streamSeconds.value(now) + assumedStreamWeight * assumedStreamSeconds;
+    const double streams = endedStreams.value(now) + assumedStreamWeight;
+    return startedStreams.value(now) * seconds / streams;
+}
+
+void EngineGroups::countSlotTime(ServiceId service, TimePoint now, Duration time)
+{
+    Work &work = m_work[service];
+    work.slotSeconds.add(now, secondsOf(time));
+    work.endedRequests.add(now, 1.0);
+}
+
+Duration EngineGroups::slotTime(ServiceId service, TimePoint now)
+{
+    const Work &work = m_work[service];
+    const double seconds = work.slotSeconds.value(now) + assumedSlotTimeWeight * assumedSlotSeconds;
+    const double requests = work.endedRequests.value(now) + assumedSlotTimeWeight;
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds / requests));
 }
 
 void EngineGroups::recordFirstEvent(TimePoint now, ForwardServer &engine, std::uint64_t tokens,
@@ -64,7 +99,7 @@
 {
     Work &work = m_work[service];
     const double prefillTokens = work.prefillTokens.value(now);
-    const double streamSeconds = work.streamSeconds.value(now);
+    const double streamSeconds = work.expectedStreamSeconds(now);
     if (engines < 2 || prefillTokens <= 0.0 || streamSeconds <= 0.0)
         return 0;
     const double prefillWork = prefillTokens / work.prefillModel.tokensPerSecond(now);
--- a/currantreel/src/Forward/EngineGroups.h
+++ b/currantreel/src/Forward/EngineGroups.h
@@ -31,9 +31,18 @@
     /// @param uncachedTokens prompt tokens that the engine has to prefill.
     void countPrefill(ServiceId service, TimePoint now, double uncachedTokens);
 
+    /// Records that a request with a short prompt, whose answer is a stream, was placed.
+    void countStreamStart(ServiceId service, TimePoint now);
+
     /// Records that a stream of a request with a short prompt ran for @p time.
     void countStream(ServiceId service, TimePoint now, Duration time);
 
+    /// Records that a request held a slot of a server of @p service for @p time.
+    void countSlotTime(ServiceId service, TimePoint now, Duration time);
+
+    /// Mean time for which a request holds a slot of a server of @p service.
+    [[nodiscard]] Duration slotTime(ServiceId service, TimePoint now);
+
     /// Records that the first event of an answer of @p engine arrived @p time after its request was
     /// sent. @param tokens prompt tokens that the engine prefilled until then.
     void recordFirstEvent(TimePoint now, ForwardServer &engine, std::uint64_t tokens,
@@ -55,9 +64,17 @@
     struct Work
     {
         DecayingSum prefillTokens;
-        DecayingSum streamSeconds;
+        DecayingSum startedStreams;
+        DecayingSum endedStreams;
+        DecayingSum streamSeconds; ///< Of the ended streams.
+        DecayingSum slotSeconds; ///< Time for which ended requests held their slots.
+        DecayingSum endedRequests;
         PrefillModel prefillModel;
         double share = initialShare; ///< Share of the engines for long prompts.
+
+        /// Expected time of the streams that were placed, in seconds. Streams that still run count
+        /// too, so that engines are divided before the first ones end.
+        [[nodiscard]] double expectedStreamSeconds(TimePoint now) const;
     };
 
     static constexpr double initialShare = 0.55;
--- a/currantreel/src/Forward/ForwardAttempts.cpp
+++ b/currantreel/src/Forward/ForwardAttempts.cpp
@@ -261,8 +261,11 @@
     ended.status = answer.status;
     addRecord(std::move(ended));
     m_effects.emplace_back(FinishForward{ call.id });
-    if (call.route->hasPrompt && !call.isLongPrompt && !call.owner.isValid())
-        m_groups.countStream(call.service, now, now - call.sentAt);
+    if (!call.owner.isValid()) {
+        m_groups.countSlotTime(call.service, now, now - call.sentAt);
+        if (call.route->hasPrompt && !call.isLongPrompt)
+            m_groups.countStream(call.service, now, now - call.sentAt);
+    }
     m_attempts.erase(call.attempt);
     releaseLoad(call);
     end(call.id);
--- a/currantreel/src/Forward/ForwardSystem.cpp
+++ b/currantreel/src/Forward/ForwardSystem.cpp
@@ -205,6 +205,8 @@
     call.uncached = server->cache.uncachedTokens(call.prompt);
     if (call.isLongPrompt)
         m_groups.countPrefill(call.service, now, call.uncached);
+    else if (call.route->hasPrompt)
+        m_groups.countStreamStart(call.service, now);
     if (call.uncached > 0)
         call.tokensToFirstEvent = server->tokensToFirstEvent(call.rank, call.uncached);
     send(now, call, *server, newAttempt());
--- a/currantreel/src/Forward/PlacementLeases.cpp
+++ b/currantreel/src/Forward/PlacementLeases.cpp
@@ -84,6 +84,8 @@
     server->cache.addPrompt(request.prompt);
     if (request.isLongPrompt)
         m_groups->countPrefill(request.service, now, lease.uncached);
+    else
+        m_groups->countStreamStart(request.service, now);
     add({ from, request.attempt }, lease);
     return grantOf(request.attempt, lease);
 }
@@ -135,8 +137,11 @@
         }
         if (ForwardServer *server = m_directory->find(lease.server))
             server->health.recordProgress(now, update.progress);
-        if (update.progress == PlacementProgress::Succeeded && lease.isStreamOfShortPrompt)
-            m_groups->countStream(lease.service, now, now - lease.grantedAt);
+        if (update.progress == PlacementProgress::Succeeded) {
+            m_groups->countSlotTime(lease.service, now, now - lease.grantedAt);
+            if (lease.isStreamOfShortPrompt)
+                m_groups->countStream(lease.service, now, now - lease.grantedAt);
+        }
         remove(found);
     }
 }
--- a/currantreel/src/Forward/ServerPlacement.cpp
+++ b/currantreel/src/Forward/ServerPlacement.cpp
@@ -11,10 +11,10 @@
 constexpr double tokensPerRunningRequest = 60.0;
 /// Cost of a kilobyte sent to another failure domain, in prompt tokens.
 constexpr double tokensPerCrossingKilobyte = 20.0;
-/// Cost of each request beyond the server's slots, in prompt tokens.
-constexpr double tokensPerQueuedRequest = 1'000.0;
 /// Cost factor of a server that is still warming up.
 constexpr double coldFactor = 2.0;
+/// Cost of a server that is still warming up, in prompt tokens.
+constexpr double tokensPerColdServer = 1'000.0;
 /// Cost of a recent failure share of 1, in prompt tokens.
 constexpr double tokensPerFailureShare = 20'000.0;
 /// Weight of the request's own uncached tokens: their prefill also delays the engine's other work.
@@ -37,6 +37,10 @@
 /// cached. With a higher limit, one engine's overload evicts prefixes at all others, whose prefill
 /// then costs more than is gained.
 constexpr double maxRepeatedPrefillTargets = 0.2;
+/// Limit of the expected wait for a slot, as a multiple of the request's target. A request that would
+/// wait longer is kept where the slots of all engines are known, and where requests that can still
+/// meet their target go first.
+constexpr double maxSlotWaitTargets = 0.4;
 /// Share of a prompt from which prefilling it again counts as repeated prefill.
 constexpr double minRepeatedShare = 0.25;
 
@@ -105,9 +109,20 @@
     const ForwardServer *preferred;
     double minUncached = 0.0; ///< Fewest uncached tokens at any server.
     double prefillRate = PrefillModel::defaultTokensPerSecond; ///< Of the service's engines.
+    double slotSeconds = 0.0; ///< Mean time for which a request holds a slot of the service.
     TimePoint now;
 };
 
+/// Expected time until a request with @p requests ahead of it gets a slot of @p server, in seconds.
+double slotWaitSeconds(const ForwardServer &server, std::uint32_t requests, const Choice &choice)
+{
+    const std::uint32_t slots = std::max(server.announced.slots, 1U);
+    if (requests < slots)
+        return 0.0;
+    const double freedPerSecond = slots / choice.slotSeconds;
+    return server.slowness.value(choice.now) * (requests - slots + 1) / freedPerSecond;
+}
+
 /// A server as a candidate for the request.
 struct Candidate
 {
@@ -133,8 +148,12 @@
         > minRepeatedShare * static_cast<double>(criteria.prompt->tokens);
     if (isRepeatedPrefill && server.load().requests >= server.announced.slots)
         return false;
+    const double targetSeconds = std::chrono::duration<double>(criteria.target).count();
+    const double maxWaitSeconds = maxSlotWaitTargets * targetSeconds;
+    if (maxWaitSeconds > 0.0 && slotWaitSeconds(server, ahead.requests, choice) > maxWaitSeconds)
+        return false;
     const double maxTargets = isRepeatedPrefill ? maxRepeatedPrefillTargets : maxBacklogTargets;
-    const double maxSeconds = maxTargets * std::chrono::duration<double>(criteria.target).count();
+    const double maxSeconds = maxTargets * targetSeconds;
     if (maxSeconds > 0.0 && ahead.uncachedTokens > 0 && backlogSeconds > maxSeconds)
         return false;
     const double needed = static_cast<double>(ahead.reservedTokens) + criteria.prompt->tokens;
@@ -165,14 +184,13 @@
 }
 
 /// Cost of the slot or memory that the server does not have free, in prompt tokens.
-double occupancyCost(const ForwardServer &server, const LoadAmount &load,
-                     const PlacementCriteria &criteria)
+double occupancyCost(const ForwardServer &server, const LoadAmount &load, const Choice &choice)
 {
     const std::uint32_t slots = server.announced.slots;
     if (load.requests < slots)
         return 0.0;
-    const double cost = tokensPerQueuedRequest * (load.requests - slots + 1);
-    if (server.memoryTokens == 0 || server.load(criteria.rank).requests >= slots)
+    const double cost = choice.prefillRate * slotWaitSeconds(server, load.requests, choice);
+    if (server.memoryTokens == 0 || server.load(choice.criteria->rank).requests >= slots)
         return cost;
     // The engine preempts a less urgent request, whose prompt it prefills again later.
     return cost + ownPrefillWeight * static_cast<double>(load.reservedTokens) / load.requests;
@@ -188,9 +206,9 @@
         * (static_cast<double>(load.uncachedTokens) + ownPrefillWeight * candidate.uncached);
     cost += groupCost(candidate.isInGroup, criteria);
     cost += tokensPerRunningRequest * load.requests;
-    cost += occupancyCost(server, load, criteria);
+    cost += occupancyCost(server, load, choice);
     if (choice.now < server.coldUntil)
-        cost = cost * coldFactor + tokensPerQueuedRequest;
+        cost = cost * coldFactor + tokensPerColdServer;
     if (server.announced.failureDomain != criteria.failureDomain) {
         constexpr double bytesPerKilobyte = 1'000.0;
         cost += tokensPerCrossingKilobyte * static_cast<double>(criteria.bytes) / bytesPerKilobyte;
@@ -237,6 +255,8 @@
     choice.criteria = &criteria;
     choice.preferred = preferredServer(group, criteria);
     choice.prefillRate = groups.prefillModel(criteria.service).tokensPerSecond(now);
+    choice.slotSeconds =
+        std::chrono::duration<double>(groups.slotTime(criteria.service, now)).count();
     choice.now = now;
     const std::vector<Candidate> candidates = candidatesOf(servers, group, directory, choice);
     for (const Candidate &candidate : candidates) {
--- a/test/PlacementLeasesTest.cpp
+++ b/test/PlacementLeasesTest.cpp
@@ -394,7 +394,7 @@
     const auto free = [&] {
         fixture.leases.receive(
             fixture.now, HostId{ running.back() },
-            PlacementUpdates{ { { AttemptId{ running.back() }, PlacementProgress::Succeeded } } });
+            PlacementUpdates{ { { AttemptId{ running.back() }, PlacementProgress::Ended } } });
         running.pop_back();
         return fixture.leases.grantQueued(fixture.now);
     };
@@ -424,6 +424,7 @@
         PlacementGrantRequest again = requestOf(earlier, promptOf(7, 100, 200, earlier));
         again.mayWait = true;
         again.rank = 5;
+        again.target = 500ms;
         CHECK(fixture.leases.grantRequest(fixture.now, HostId{ earlier }, again).isQueued);
         CHECK(fixture.leases.queued() == 3);
         CHECK(granted() == earlier);
--- a/test/ServerPlacementTest.cpp
+++ b/test/ServerPlacementTest.cpp
@@ -123,8 +123,10 @@
         overloaded.insert(started[i].instance);
     // At most three quarters of the engines are for long prompts.
     CHECK(overloaded.size() <= 6);
+    enginesOfStreams.clear();
     ask();
-    CHECK_FALSE(overloaded.contains(fixture.last<StartForward>().instance));
+    REQUIRE(enginesOfStreams.size() == 1);
+    CHECK_FALSE(overloaded.contains(*enginesOfStreams.begin()));
 }
 
 TEST_CASE("under overload a prefix is not prefilled at further engines that are busy")
@@ -203,7 +205,12 @@
     EngineGroups groups;
     groups.countPrefill(service, now, 900'000.0);
     CHECK(groups.longPromptEngines(service, now, 12, 64) == 0);
-    groups.countStream(service, now, 400s);
+    for (int stream = 0; stream < 40; ++stream)
+        groups.countStreamStart(service, now);
+    // Before the first stream ends, too.
+    CHECK(groups.longPromptEngines(service, now, 12, 64) > 6);
+    for (int stream = 0; stream < 40; ++stream)
+        groups.countStream(service, now, 10s);
     CHECK(groups.longPromptEngines(service, now, 12, 64) > 6);
 }
 
@@ -280,3 +287,58 @@
         CHECK(failing.own.total().requests > 0);
     }
 }
+
+TEST_CASE("urgent requests do not queue at an engine for longer than their target allows")
+{
+    // Answers take a second: of four slots one is free every 250 ms, and the target is 300 ms.
+    ForwardFixture fixture;
+    fixture.addServer("engine-1", "engines", "a", 4);
+    std::uint64_t id = 1'000;
+    const auto ask = [&] { fixture.call("/gate/question", "key", promptOf(7, 200, 100, ++id)); };
+    const auto beginAnswers = [&](std::size_t first) {
+        const std::vector<StartForward> started = fixture.all<StartForward>();
+        for (std::size_t i = first; i < started.size(); ++i) {
+            fixture.system.onWritten(started[i].attempt);
+            fixture.events(started[i].attempt);
+        }
+    };
+    for (std::size_t round = 0; round < 10; ++round) {
+        ask();
+        beginAnswers(round);
+        for (int i = 0; i < 2; ++i) {
+            fixture.advance(500ms);
+            fixture.events(fixture.last<StartForward>().attempt);
+        }
+        fixture.answer(fixture.last<StartForward>().attempt, 200);
+    }
+    for (int i = 0; i < 8; ++i)
+        ask();
+    CHECK(fixture.all<StartForward>().size() == 14);
+    SUBCASE("those that can still meet their target go first when a slot is free")
+    {
+        beginAnswers(10);
+        fixture.advance(400ms);
+        ask();
+        const RequestId fresh{ 19 };
+        fixture.answer(fixture.last<StartForward>().attempt, 200);
+        CHECK(fixture.all<StartForward>().size() == 15);
+        CHECK(fixture.last<StartForward>().request == fresh);
+    }
+}
+
+TEST_CASE("a free slot in the group for long prompts is better than a queue in the other group")
+{
+    ForwardFixture fixture;
+    for (int engine = 0; engine < 4; ++engine)
+        fixture.addServer("engine-" + std::to_string(engine), "engines", "a", 4);
+    std::uint64_t id = 1'000;
+    fixture.call("/summary/lot", "key", promptOf(1, 4'000, 3'000, ++id));
+    for (int i = 0; i < 12; ++i)
+        fixture.call("/gate/question", "key", promptOf(7, 200, 100, ++id));
+    std::map<std::string, int> requests;
+    for (const StartForward &start : fixture.all<StartForward>())
+        ++requests[start.instance];
+    CHECK(fixture.all<StartForward>().size() == 13);
+    for (const auto &[engine, count] : requests)
+        CHECK(count <= 4);
+}
