--- a/apps/ToolConfig.cpp
+++ b/apps/ToolConfig.cpp
@@ -95,12 +95,19 @@
         return fmt::format("schema = {}\nbase = {}\nauthor = {}\nreason = {}\n\n{}",
                            supportedSchema, version, quotedToml(absl::GetFlag(FLAGS_author)),
                            quotedToml(absl::GetFlag(FLAGS_reason)), text);
+    const auto isBaseLine = [](std::string_view line) {
+        constexpr std::string_view key = "base";
+        if (line.compare(0, key.size(), key) != 0)
+            return false;
+        const std::size_t next = line.find_first_not_of(" \t", key.size());
+        return next != std::string_view::npos && line[next] == '=';
+    };
     std::string rebased;
     bool hasReplacedBase = false;
     for (std::size_t at = 0; at < text.size();) {
         const std::size_t end = std::min(text.find('\n', at), text.size() - 1) + 1;
         const std::string line = text.substr(at, end - at);
-        const bool isBase = !hasReplacedBase && line.compare(0, 4, "base") == 0;
+        const bool isBase = !hasReplacedBase && isBaseLine(line);
         rebased += isBase ? fmt::format("base = {}\n", version) : line;
         hasReplacedBase = hasReplacedBase || isBase;
         at = end;
@@ -230,10 +237,15 @@
     const auto answer = fetchHostJson(host, "/v1/audit");
     if (isError(answer))
         return reportFailure(error(answer));
-    for (const nlohmann::json &row : value(answer).at("records"))
-        printRecord(row.value("patch", 0UL), row.value("code", 0), row.value("name", ""),
-                    row.value("seen", ""), row.value("author", ""), row.value("reason", ""),
-                    row.value("digest", ""));
+    try {
+        for (const nlohmann::json &row : value(answer).at("records"))
+            printRecord(row.value("patch", 0UL), row.value("code", 0), row.value("name", ""),
+                        row.value("seen", ""), row.value("author", ""), row.value("reason", ""),
+                        row.value("digest", ""));
+    } catch (const nlohmann::json::exception &failure) {
+        return reportFailure(Error{ ResultCode::ToolHostUnreachable,
+                                    host + " sent no audit records: " + failure.what() });
+    }
     return exitOk;
 }
 
--- a/apps/ToolPublish.cpp
+++ b/apps/ToolPublish.cpp
@@ -2,9 +2,11 @@
 
 #include "ToolSource.h"
 #include <filesystem>
+#include <fmt/format.h>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <system_error>
+#include <unistd.h>
 
 namespace currantreel::tool {
 
@@ -28,7 +30,8 @@
 {
     std::error_code failure;
     fs::create_directories(path.parent_path(), failure);
-    const fs::path temporaryPath = path.string() + ".new";
+    // Two operators may publish the same number at the same time.
+    const fs::path temporaryPath = fmt::format("{}.{}.new", path.native(), getpid());
     std::ofstream stream(temporaryPath, std::ios::binary | std::ios::trunc);
     stream << content;
     stream.close();
--- a/apps/ToolSource.cpp
+++ b/apps/ToolSource.cpp
@@ -1,6 +1,7 @@
 #include "ToolSource.h"
 
 #include "ToolHttp.h"
+#include "ToolReport.h"
 #include <algorithm>
 #include <filesystem>
 #include <fmt/format.h>
@@ -25,12 +26,15 @@
     std::uint64_t maxPosition = UINT64_MAX;
 };
 
+/// The directory and position in @p source; the whole is a directory if no number follows an '@'.
 DirectorySource parseDirectorySource(const std::string &source)
 {
     const std::size_t at = source.rfind('@');
     if (at == std::string::npos)
         return { source };
-    return { source.substr(0, at), std::strtoull(source.c_str() + at + 1, nullptr, 10) };
+    const auto position = parseNumber(std::string_view(source).substr(at + 1));
+    return position ? DirectorySource{ source.substr(0, at), *position }
+                    : DirectorySource{ source };
 }
 
 std::vector<std::uint64_t> snapshotsOf(const fs::path &values)
@@ -38,7 +42,8 @@
     std::vector<std::uint64_t> numbers;
     std::error_code failure;
     for (const fs::directory_entry &entry : fs::directory_iterator(values / "snapshot", failure))
-        numbers.push_back(std::strtoull(entry.path().filename().c_str(), nullptr, 10));
+        if (const auto number = parseNumber(entry.path().filename().native()))
+            numbers.push_back(*number);
     std::sort(numbers.begin(), numbers.end());
     return numbers;
 }
--- a/apps/ToolWait.cpp
+++ b/apps/ToolWait.cpp
@@ -81,7 +81,7 @@
 
 int waitForVersion(const std::vector<std::string> &arguments)
 {
-    const std::uint64_t version = std::strtoull(arguments[2].c_str(), nullptr, 10);
+    const std::uint64_t version = parseNumber(arguments[2]).value_or(0);
     if (version == 0)
         return usageError("config wait requires a version and the operator addresses of hosts");
     const auto deadline = std::chrono::steady_clock::now()
--- a/test/process/test_forward.py
+++ b/test/process/test_forward.py
@@ -405,6 +405,23 @@
             site.close()
 
 
+    def test_a_store_that_sends_bytes_without_end_does_no_harm(self):
+        site = ForwardSite(hosts=1)
+        try:
+            store = site.net + ".251:9300"
+            server = EndlessServer(store, b"HTTP/1.1 200 OK\r\n\r\n", b"a")
+            site.store = store
+            site.start_host(2)
+            wait_until(lambda: server.isClosed, "the connection is closed")
+            wait_until(lambda: site.is_ready(2), "the host gets all from its peer")
+            self.assertEqual(request(site.host_address(2, 8740), "POST", "/pay/x", "x", site.headers()).status, 200)
+            with open("/proc/%d/status" % site.processes["host-2"].pid, encoding="ascii") as status:
+                peak, = [int(line.split()[1]) for line in status if line.startswith("VmHWM")]
+            self.assertLessEqual(peak, self.MOST_MEGABYTES * 1024)
+        finally:
+            site.close()
+
+
 class Stop(unittest.TestCase):
     def test_a_planned_stop_finishes_what_runs_and_closes_what_is_unused(self):
         site = ForwardSite(hosts=1)
