Hosts that know no load spread their requests over servers of equal cost

A host sends it one request a second, so that it knows of no load, all servers of its failure domain cost the same, and the first of them was chosen, by all 60 hosts.

Change: between servers of equal cost a hash of the request and the server decides. Besides, a repeated request that its owner places at once is removed from the queue, in which it was granted a second time.

Both have a test that failed first.

--- a/currantreel/src/Forward/ForwardSystem.cpp
+++ b/currantreel/src/Forward/ForwardSystem.cpp
@@ -38,7 +38,7 @@
 } // namespace
 
 ForwardSystem::ForwardSystem(FailureDomainId failureDomain, std::uint64_t seed)
-    : m_failureDomain(failureDomain), m_random(seed)
+    : m_failureDomain(failureDomain), m_random(seed), m_spreadSeed(m_random())
 {
 }
 
@@ -159,6 +159,7 @@
         criteria.prompt = &call.prompt;
     criteria.isLongPrompt = call.isLongPrompt;
     criteria.target = call.route->target;
+    criteria.spread = m_spreadSeed ^ call.id.value;
     return criteria;
 }
 
--- a/currantreel/src/Forward/PlacementLeases.cpp
+++ b/currantreel/src/Forward/PlacementLeases.cpp
@@ -23,7 +23,9 @@
     if (const auto known = m_leases.find({ from, request.attempt }); known != m_leases.end())
         return grantOf(request.attempt, known->second);
     PlacementGrant grant = place(now, from, request);
-    if (!grant.server.isValid() && request.mayWait)
+    if (grant.server.isValid())
+        m_queue.remove({ from, request.attempt });
+    else if (request.mayWait)
         grant.isQueued = m_queue.add(now, from, request);
     return grant;
 }
--- a/currantreel/src/Forward/ServerPlacement.cpp
+++ b/currantreel/src/Forward/ServerPlacement.cpp
@@ -270,7 +270,11 @@
         if (!hasCapacity(candidate, choice))
             continue;
         const double cost = costOf(candidate, choice);
-        if (!best || cost < bestCost) {
+        // Hosts that know no load would otherwise all choose the first of equal servers.
+        const bool winsTie = best && cost == bestCost
+                             && rendezvousRank(*candidate.server, criteria.spread)
+                                    > rendezvousRank(*best, criteria.spread);
+        if (!best || cost < bestCost || winsTie) {
             best = candidate.server;
             bestCost = cost;
         }
--- a/test/ForwardFixture.h
+++ b/test/ForwardFixture.h
@@ -30,7 +30,7 @@
 class ForwardFixture
 {
 public:
-    ForwardFixture() : system(FailureDomainId::ofName("a"), 7)
+    explicit ForwardFixture(std::uint64_t seed = 7) : system(FailureDomainId::ofName("a"), seed)
     {
         RetryBound bound;
         bound.ratio = 0.2;
--- a/test/PlacementLeasesTest.cpp
+++ b/test/PlacementLeasesTest.cpp
@@ -432,6 +432,19 @@
         CHECK(fixture.leases.grantRequest(fixture.now, HostId{ earlier }, again).server.isValid());
         CHECK(fixture.leases.size() == leases);
     }
+    SUBCASE("a repeated request that is placed at once is no longer queued")
+    {
+        // Its capacity is freed between two passes.
+        fixture.leases.receive(
+            fixture.now, HostId{ running.back() },
+            PlacementUpdates{ { { AttemptId{ running.back() }, PlacementProgress::Ended } } });
+        PlacementGrantRequest again = requestOf(earlier, promptOf(7, 100, 200, earlier));
+        again.mayWait = true;
+        again.rank = 5;
+        again.target = 500ms;
+        CHECK(fixture.leases.grantRequest(fixture.now, HostId{ earlier }, again).server.isValid());
+        CHECK(fixture.leases.queued() == 2);
+    }
     SUBCASE("requests of a host that is gone and expired ones are not granted")
     {
         fixture.leases.run(fixture.now, [&](HostId host) { return host != HostId{ earlier }; });
--- a/test/ServerPlacementTest.cpp
+++ b/test/ServerPlacementTest.cpp
@@ -326,6 +326,28 @@
     }
 }
 
+TEST_CASE("hosts that know no load spread their requests over servers of equal cost")
+{
+    // Each host sends one request and ends it, so that none knows of any load.
+    std::map<std::string, int> requests;
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+        ForwardFixture fixture(seed);
+        for (const char *name : { "1", "2", "3" })
+            fixture.addServer(std::string("ledger-") + name, "ledger", "a", 6);
+        for (int i = 0; i < 5; ++i) {
+            fixture.call("/pay/ticket");
+            const auto sent = fixture.last<StartForward>();
+            ++requests[sent.instance];
+            fixture.answer(sent.attempt, 200);
+        }
+    }
+    // A third of 300 each, within a third of that.
+    for (const char *name : { "ledger-1", "ledger-2", "ledger-3" }) {
+        CHECK(requests[name] >= 67);
+        CHECK(requests[name] <= 133);
+    }
+}
+
 TEST_CASE("a free slot in the group for long prompts is better than a queue in the other group")
 {
     ForwardFixture fixture;
