--- a/currantreel/src/Shell/CallerHttpServer.cpp
+++ b/currantreel/src/Shell/CallerHttpServer.cpp
@@ -1,4 +1,4 @@
-#include "CallerHttpServer.h"
+#include "CallerExchanges.h"
 
 #include "CallerRequest.h"
 #include "HttpReply.h"
@@ -11,8 +11,6 @@
 namespace {
 
 constexpr std::string_view keyPath = "/v1/idempotency-keys";
-constexpr int statusOk = 200;
-constexpr int statusCreated = 201;
 constexpr int statusTooManyRequests = 429;
 constexpr int statusUnavailable = 503;
 
@@ -25,21 +23,6 @@
 /// separates them from those of attempts at backend servers.
 constexpr std::uint64_t forwardedAttemptBit = 1ULL << 63U;
 
-std::string_view nameOf(KeyState state)
-{
-    switch (state) {
-    case KeyState::Running:
-        return "running";
-    case KeyState::Completed:
-        return "completed";
-    case KeyState::Revoked:
-        return "not_run";
-    case KeyState::Unknown:
-        break;
-    }
-    return "unknown";
-}
-
 /// Number of generated tokens that a non-streamed response reports; 0 if it reports none.
 std::uint32_t reportedTokens(std::string_view body)
 {
@@ -51,13 +34,6 @@
     return tokens.is_number_unsigned() ? tokens.get<std::uint32_t>() : 0;
 }
 
-std::string_view contentOf(evbuffer *buffer)
-{
-    const std::size_t length = evbuffer_get_length(buffer);
-    const unsigned char *bytes = length ? evbuffer_pullup(buffer, -1) : nullptr;
-    return { reinterpret_cast<const char *>(bytes), length };
-}
-
 /// Outcome of a request that is refused before its idempotency key is looked up. With a key, an
 /// earlier request with the same key may have run.
 Outcome outcomeBeforeKeyLookup(evhttp_request *request)
@@ -67,39 +43,6 @@
 
 } // namespace
 
-/// A request of a caller and its reply.
-struct CallerHttpServer::Exchange
-{
-    CallerHttpServer *server = nullptr;
-    RequestId id;
-    evhttp_request *request = nullptr; ///< Null once the caller has left or was answered.
-    evhttp_cmd_type method = EVHTTP_REQ_GET;
-    std::string path;
-    std::vector<HttpHeader> headers;
-    BufferHandle body;
-    bool isService = false;
-    bool isCaptured = false; ///< The response may have to be kept for its idempotency key.
-    bool isStreaming = false; ///< The reply's headers were sent.
-    bool isPaused = false;
-    std::string capturedBody;
-    AttemptId relayedAttempt;
-};
-
-/// An attempt of a request at a backend server, or its forwarding to another host.
-struct CallerHttpServer::Attempt
-{
-    AttemptId id;
-    RequestId request;
-    ResponseHead head;
-    BufferHandle pending = makeBuffer(); ///< Received and not relayed yet.
-    SseScanner scanner;
-    bool isForwardedToHost = false;
-    bool isEventStream = false;
-    bool isRelayed = false;
-    bool isFailed = false;
-    std::unique_ptr<OutgoingExchange> outgoing;
-};
-
 CallerHttpServer::CallerHttpServer(event_base *base, const HostSettings &settings,
                                    Incarnation incarnation, EventSink sink)
     : m_base(base),
@@ -422,147 +365,4 @@
     m_attempts.erase(effect.attempt);
 }
 
-void CallerHttpServer::detachCaller(Exchange &exchange)
-{
-    evhttp_connection *connection = evhttp_request_get_connection(exchange.request);
-    evhttp_connection_set_closecb(connection, nullptr, nullptr);
-    bufferevent_setwatermark(evhttp_connection_get_bufferevent(connection), EV_READ, 0, 0);
-    exchange.request = nullptr;
-}
-
-void CallerHttpServer::finish(Exchange &exchange)
-{
-    const Attempt *attempt = find(exchange.relayedAttempt);
-    if (!exchange.request || !attempt)
-        return;
-    evhttp_request *request = exchange.request;
-    detachCaller(exchange);
-    if (exchange.isStreaming) {
-        evhttp_send_reply_end(request);
-        return;
-    }
-    if (!attempt->isForwardedToHost)
-        evhttp_add_header(evhttp_request_get_output_headers(request), "Currantreel-Outcome",
-                          name(Outcome::Completed).data());
-    evhttp_send_reply(request, attempt->head.status, nullptr, attempt->pending.get());
-}
-
-void CallerHttpServer::handle(const FinishReply &effect)
-{
-    if (Exchange *exchange = find(effect.request))
-        finish(*exchange);
-    close(effect.request);
-}
-
-void CallerHttpServer::handle(const CloseExchange &effect)
-{
-    close(effect.request);
-}
-
-void CallerHttpServer::close(RequestId id)
-{
-    Exchange *exchange = find(id);
-    if (!exchange)
-        return;
-    if (exchange->request)
-        detachCaller(*exchange);
-    std::erase_if(m_attempts, [id](const auto &item) { return item.second->request == id; });
-    m_exchanges.erase(id);
-}
-
-void CallerHttpServer::handle(const RefuseRequest &effect)
-{
-    Exchange *exchange = find(effect.request);
-    if (!exchange)
-        return;
-    if (evhttp_request *request = exchange->request) {
-        const bool isStreaming = exchange->isStreaming;
-        detachCaller(*exchange);
-        if (isStreaming) {
-            const BufferHandle chunk = makeBuffer();
-            const std::string event =
-                fmt::format("event: error\ndata: {}\n\n",
-                            errorBody(effect.code, effect.outcome, effect.retryAfter));
-            evbuffer_add(chunk.get(), event.data(), event.size());
-            evhttp_send_reply_chunk(request, chunk.get());
-            evhttp_send_reply_end(request);
-        } else {
-            sendError(request, effect.code, effect.outcome, effect.retryAfter);
-        }
-    }
-    close(effect.request);
-}
-
-void CallerHttpServer::handle(const KeyIssued &effect)
-{
-    Exchange *exchange = find(effect.request);
-    if (exchange && exchange->request) {
-        evhttp_request *request = exchange->request;
-        detachCaller(*exchange);
-        sendReply(request, statusCreated, jsonType, nlohmann::json{ { "key", effect.key } }.dump());
-    }
-    close(effect.request);
-}
-
-void CallerHttpServer::handle(const KeyAssigned &effect)
-{
-    Exchange *exchange = find(effect.request);
-    if (!exchange)
-        return;
-    exchange->isCaptured = true;
-    if (exchange->request)
-        evhttp_add_header(evhttp_request_get_output_headers(exchange->request), "Idempotency-Key",
-                          effect.key.c_str());
-}
-
-void CallerHttpServer::handle(const KeyStateReported &effect)
-{
-    Exchange *exchange = find(effect.request);
-    if (exchange && exchange->request) {
-        evhttp_request *request = exchange->request;
-        detachCaller(*exchange);
-        const nlohmann::json body{ { "state", nameOf(effect.state) } };
-        sendReply(request, statusOk, jsonType, body.dump());
-    }
-    close(effect.request);
-}
-
-void CallerHttpServer::handle(const StoreAnswer &effect)
-{
-    Exchange *exchange = find(effect.request);
-    const Attempt *attempt = exchange ? find(exchange->relayedAttempt) : nullptr;
-    if (!attempt)
-        return;
-    CachedResponse response{ attempt->head.status, attempt->head.contentType, {} };
-    if (attempt->isEventStream)
-        response.body = std::move(exchange->capturedBody);
-    else
-        response.body = contentOf(attempt->pending.get());
-    if (response.body.size() <= m_settings->limits.answerBytes)
-        m_responseCache.store(effect.key, std::move(response));
-}
-
-void CallerHttpServer::handle(const ReplayAnswer &effect)
-{
-    Exchange *exchange = find(effect.request);
-    if (exchange && exchange->request) {
-        evhttp_request *request = exchange->request;
-        detachCaller(*exchange);
-        if (const CachedResponse *response = m_responseCache.find(effect.key)) {
-            evkeyvalq *headers = evhttp_request_get_output_headers(request);
-            evhttp_add_header(headers, "Currantreel-Outcome", name(Outcome::Completed).data());
-            evhttp_add_header(headers, "Currantreel-Replayed", "true");
-            sendReply(request, response->status, response->contentType, response->body);
-        } else {
-            sendError(request, ResultCode::KeyResultDropped, Outcome::Completed, {});
-        }
-    }
-    close(effect.request);
-}
-
-void CallerHttpServer::handle(const DropAnswer &effect)
-{
-    m_responseCache.drop(effect.key);
-}
-
 } // namespace currantreel
--- a/currantreel/src/Shell/ForwardDaemon.h
+++ b/currantreel/src/Shell/ForwardDaemon.h
@@ -27,6 +27,9 @@
     [[nodiscard]] int run();
 
 private:
+    /// Number of hosts assumed to share the retry budget as long as no peer has been heard of.
+    static constexpr std::size_t assumedHostCount = 9;
+
     using Reader = PublishedReader<platform::StoreClient>;
 
     void applyEffects();
--- a/currantreel/src/Shell/HttpReply.cpp
+++ b/currantreel/src/Shell/HttpReply.cpp
@@ -64,6 +64,13 @@
     return evbuffer_get_length(bufferevent_get_output(stream));
 }
 
+std::string_view contentOf(evbuffer *buffer)
+{
+    const std::size_t length = evbuffer_get_length(buffer);
+    const unsigned char *bytes = length ? evbuffer_pullup(buffer, -1) : nullptr;
+    return { reinterpret_cast<const char *>(bytes), length };
+}
+
 std::string headerOf(evhttp_request *request, const char *name)
 {
     const char *value = evhttp_find_header(evhttp_request_get_input_headers(request), name);
--- a/currantreel/src/Shell/HttpReply.h
+++ b/currantreel/src/Shell/HttpReply.h
@@ -18,6 +18,9 @@
 [[nodiscard]] std::string errorBody(ResultCode code, Outcome outcome, Duration retryAfter,
                                     std::string_view detail = "");
 
+/// The bytes in @p buffer; valid until the buffer changes.
+[[nodiscard]] std::string_view contentOf(evbuffer *buffer);
+
 /// Sends a complete reply.
 void sendReply(evhttp_request *request, int status, std::string_view contentType,
                std::string_view body);
