--- a/apps/ToolReport.cpp
+++ b/apps/ToolReport.cpp
@@ -1,7 +1,6 @@
 #include "ToolReport.h"
 
 #include "ToolCommands.h"
-#include <charconv>
 #include <fmt/format.h>
 
 namespace currantreel::tool {
@@ -19,15 +18,6 @@
     return report(Error{ ResultCode::ToolUsage, detail }, exitUsage);
 }
 
-std::optional<std::uint64_t> parseNumber(std::string_view text)
-{
-    std::uint64_t number = 0;
-    const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), number);
-    if (fault != std::errc() || end != text.data() + text.size())
-        return std::nullopt;
-    return number;
-}
-
 int printFaults(const FaultList &faults)
 {
     for (const Fault &fault : faults)
--- /dev/null
+++ b/currantreel/src/Core/ParseNumber.h
@@ -0,0 +1,23 @@
+#ifndef CURRANTREEL_CORE_PARSENUMBER_H
+#define CURRANTREEL_CORE_PARSENUMBER_H
+
+#include <charconv>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+namespace currantreel {
+
+/// The number that @p text states, which must consist of decimal digits only.
+[[nodiscard]] inline std::optional<std::uint64_t> parseNumber(std::string_view text)
+{
+    std::uint64_t number = 0;
+    const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (fault != std::errc() || end != text.data() + text.size())
+        return std::nullopt;
+    return number;
+}
+
+} // namespace currantreel
+
+#endif
--- a/currantreel/src/Forward/EngineGroups.h
+++ b/currantreel/src/Forward/EngineGroups.h
@@ -37,7 +37,8 @@
     /// Records that a stream of a request with a short prompt ran for @p time.
     void countStream(ServiceId service, TimePoint now, Duration time);
 
-    /// Records that a request held a slot of a server of @p service for @p time.
+    /// Records that a request ended @p time after it was sent to a server of @p service. The time
+    /// includes the wait for the slot, which is kept short.
     void countSlotTime(ServiceId service, TimePoint now, Duration time);
 
     /// Mean time for which a request holds a slot of a server of @p service.
--- a/currantreel/src/Forward/EventStreamReader.cpp
+++ b/currantreel/src/Forward/EventStreamReader.cpp
@@ -1,7 +1,6 @@
 #include "EventStreamReader.h"
 
-#include <charconv>
-#include <optional>
+#include "../Core/ParseNumber.h"
 
 namespace currantreel {
 
@@ -11,15 +10,6 @@
 /// First character of a comment line.
 constexpr char commentMark = ':';
 
-std::optional<std::uint64_t> parseNumber(std::string_view text)
-{
-    std::uint64_t number = 0;
-    const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), number);
-    if (fault != std::errc() || end != text.data() + text.size())
-        return std::nullopt;
-    return number;
-}
-
 } // namespace
 
 void EventStreamReader::add(std::string_view bytes)
--- a/currantreel/src/Forward/ForwardSystem.cpp
+++ b/currantreel/src/Forward/ForwardSystem.cpp
@@ -38,7 +38,7 @@
 } // namespace
 
 ForwardSystem::ForwardSystem(FailureDomainId failureDomain, std::uint64_t seed)
-    : m_failureDomain(failureDomain), m_random(seed), m_spreadSeed(m_random())
+    : m_failureDomain(failureDomain), m_random(seed), m_tieBreakerSeed(m_random())
 {
 }
 
@@ -159,7 +159,7 @@
         criteria.prompt = &call.prompt;
     criteria.isLongPrompt = call.isLongPrompt;
     criteria.target = call.route->target;
-    criteria.spread = m_spreadSeed ^ call.id.value;
+    criteria.tieBreaker = m_tieBreakerSeed ^ call.id.value;
     return criteria;
 }
 
--- a/currantreel/src/Forward/ForwardSystem.h
+++ b/currantreel/src/Forward/ForwardSystem.h
@@ -197,7 +197,7 @@
 
     FailureDomainId m_failureDomain;
     std::mt19937_64 m_random;
-    std::uint64_t m_spreadSeed; ///< Differs between hosts.
+    std::uint64_t m_tieBreakerSeed; ///< Differs between hosts.
     OwnerLookup m_ownerOf;
     std::map<Partition, HostId> m_owners; ///< Owners as last looked up.
     std::map<HostId, OwnerContact> m_ownerContacts;
--- a/currantreel/src/Forward/ServerPlacement.cpp
+++ b/currantreel/src/Forward/ServerPlacement.cpp
@@ -272,8 +272,8 @@
         const double cost = costOf(candidate, choice);
         // Hosts that know no load would otherwise all choose the first of equal servers.
         const bool winsTie = best && cost == bestCost
-                             && rendezvousRank(*candidate.server, criteria.spread)
-                                    > rendezvousRank(*best, criteria.spread);
+                             && rendezvousRank(*candidate.server, criteria.tieBreaker)
+                                    > rendezvousRank(*best, criteria.tieBreaker);
         if (!best || cost < bestCost || winsTie) {
             best = candidate.server;
             bestCost = cost;
--- a/standins/site.cpp
+++ b/standins/site.cpp
@@ -8,6 +8,7 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/strings/str_split.h>
+#include <currantreel/Core>
 #include <event2/keyvalq_struct.h>
 #include <list>
 #include <map>
@@ -26,6 +27,7 @@
 using currantreel::headerOf;
 using currantreel::jsonType;
 using currantreel::makeBuffer;
+using currantreel::parseNumber;
 using currantreel::queryOf;
 using currantreel::sendReply;
 using currantreel::toTimeval;
@@ -49,11 +51,6 @@
     return text;
 }
 
-std::uint64_t parseNumber(const std::string &text)
-{
-    return text.empty() ? 0 : std::stoull(text);
-}
-
 /// Published items and the history of their changes.
 class Store
 {
@@ -130,7 +127,7 @@
 
     void handleWatch(evhttp_request *request)
     {
-        const std::uint64_t after = parseNumber(queryOf(request, "after"));
+        const std::uint64_t after = parseNumber(queryOf(request, "after")).value_or(0);
         if (replyIfReady(request, after, false))
             return;
         auto watch = std::make_unique<Watch>();
@@ -139,7 +136,7 @@
         watch->after = after;
         event_base *base = evhttp_connection_get_base(evhttp_request_get_connection(request));
         watch->timer.reset(event_new(base, -1, 0, &Store::onTimeout, watch.get()));
-        const std::chrono::milliseconds wait(parseNumber(queryOf(request, "wait-ms")));
+        const std::chrono::milliseconds wait(parseNumber(queryOf(request, "wait-ms")).value_or(0));
         const timeval timeout = toTimeval(wait);
         event_add(watch->timer.get(), &timeout);
         evhttp_connection_set_closecb(evhttp_request_get_connection(request),
@@ -306,7 +303,7 @@
         event_add(run->timer.get(), &wait);
         sendLateCopy(run->connection);
         if (isStream)
-            run->nextEvent = parseNumber(headerOf(request, "Last-Event-Id")) + 1;
+            run->nextEvent = parseNumber(headerOf(request, "Last-Event-Id")).value_or(0) + 1;
         else
             run->nextEvent = 0;
     }
--- a/test/process/test_tool.py
+++ b/test/process/test_tool.py
@@ -4,12 +4,14 @@
 import os
 import random
 import subprocess
+import tempfile
 import threading
 import unittest
 
 from whole_site import BUILD
 
 EXIT_USAGE = 2
+SOURCES = os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..")
 
 
 def tool(*arguments):
@@ -38,6 +40,16 @@
         self.assertEqual(result.returncode, EXIT_USAGE)
         self.assertIn("tool_usage", result.stderr)
 
+    def test_rebase_replaces_the_base_of_a_patch_only(self):
+        with tempfile.TemporaryDirectory(prefix="currantreel-tool-") as directory:
+            published, patch = os.path.join(directory, "published"), os.path.join(directory, "patch.toml")
+            example = os.path.join(SOURCES, "examples", "karacay-mill", "configuration.toml")
+            self.assertEqual(tool("config", "init", published, example).returncode, 0)
+            with open(patch, "w", encoding="utf-8") as file:
+                file.write("baseline = 3\nbase = 9\n")
+            lines = tool("config", "propose", published, patch, "--rebase").stdout.splitlines()
+            self.assertEqual(lines[:2], ["baseline = 3", "base = 1"])
+
     def test_a_reply_without_records_is_an_error_of_its_own(self):
         address = ("127.%d.7.1" % random.randint(20, 219), 9555)
         server = http.server.HTTPServer(address, FixedAnswer)
