A removal is deferred once, not anew by each outage of the platform

A host sent a request to a server 4,011 ms after its leaving was acknowledged, while the store turned a third of the hosts away.

A host whose calls fail for a second, succeed once and fail again put a removal off without bound; a listing meanwhile repeated it with a higher revision. Now each removal has a time of its own at which it takes effect.

The test fails on the code before.

--- a/currantreel/src/Forward/PublishedState.cpp
+++ b/currantreel/src/Forward/PublishedState.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <set>
-#include <utility>
 
 namespace currantreel {
 
@@ -14,11 +13,13 @@
     const auto deferred = m_deferred.find(item.key);
     if (known != m_items.end() && known->second.revision >= item.revision)
         return;
-    if (deferred != m_deferred.end() && deferred->second.revision >= item.revision)
+    if (deferred != m_deferred.end() && deferred->second.item.revision >= item.revision)
         return;
     if (item.isRemoved && now < m_deferUntil && known != m_items.end()
         && !known->second.isRemoved) {
-        m_deferred[item.key] = item;
+        // A listing may repeat a deferred removal with a higher revision.
+        m_deferred.try_emplace(item.key, DeferredRemoval{ item, m_deferUntil }).first->second.item =
+            item;
         return;
     }
     if (deferred != m_deferred.end())
@@ -57,11 +58,15 @@
 std::vector<PublishedItem> PublishedState::takeDueRemovals(TimePoint now)
 {
     std::vector<PublishedItem> applied;
-    if (now < m_deferUntil || m_deferred.empty())
-        return applied;
-    const std::map<std::string, PublishedItem> deferred = std::exchange(m_deferred, {});
-    for (const auto &[key, item] : deferred)
-        applyItem(now, item, applied);
+    for (auto removal = m_deferred.begin(); removal != m_deferred.end();) {
+        if (now < removal->second.dueAt) {
+            ++removal;
+            continue;
+        }
+        m_items[removal->first] = removal->second.item;
+        applied.push_back(removal->second.item);
+        removal = m_deferred.erase(removal);
+    }
     return applied;
 }
 
@@ -69,7 +74,7 @@
 {
     std::uint64_t shared = m_revision;
     for (const auto &[key, removal] : m_deferred)
-        shared = std::min(shared, removal.revision - 1);
+        shared = std::min(shared, removal.item.revision - 1);
     return shared;
 }
 
--- a/currantreel/src/Forward/PublishedState.h
+++ b/currantreel/src/Forward/PublishedState.h
@@ -54,10 +54,17 @@
     [[nodiscard]] std::size_t size() const { return m_items.size(); }
 
 private:
+    /// A removal that takes effect later. Another outage of the platform does not delay it further.
+    struct DeferredRemoval
+    {
+        PublishedItem item;
+        TimePoint dueAt;
+    };
+
     void applyItem(TimePoint now, const PublishedItem &item, std::vector<PublishedItem> &applied);
 
     std::map<std::string, PublishedItem> m_items; ///< Removals are kept to reject outdated changes.
-    std::map<std::string, PublishedItem> m_deferred; ///< Deferred removals.
+    std::map<std::string, DeferredRemoval> m_deferred;
     std::uint64_t m_revision = 0;
     TimePoint m_deferUntil;
 };
--- a/test/PublishedStateTest.cpp
+++ b/test/PublishedStateTest.cpp
@@ -79,6 +79,21 @@
     CHECK(due[0].key == "b");
 }
 
+TEST_CASE("further outages do not defer a removal further")
+{
+    PublishedState state;
+    state.apply(start, { item("a", 1), item("b", 2) });
+    state.deferRemovals(start + 2s);
+    CHECK(state.apply(start, { item("a", 3, true) }).empty());
+    state.deferRemovals(start + 3s);
+    CHECK(state.replace(start + 1s, "", { item("b", 2) }, 7).empty());
+    CHECK(state.takeDueRemovals(start + 1900ms).empty());
+    const auto due = state.takeDueRemovals(start + 2s);
+    REQUIRE(due.size() == 1);
+    CHECK(due[0].key == "a");
+    CHECK(state.sharedRevision() == 7);
+}
+
 TEST_CASE("changesAfter() returns the changes above a revision")
 {
     PublishedState state;
