Logs and metrics tell how published changes reach a host

The hypotheses of the incident could not be told apart by a host's logs: they did not say from whom a change came, that a request for items stayed without an answer, or for how long a host knew that it was behind others. Now they do (published_changes, published_request_unanswered, published_behind, published_caught_up), and so do five metrics. No change of logic: a request is counted as unanswered where it was given up before.

--- a/currantreel/src/Fleet/FleetSystem.cpp
+++ b/currantreel/src/Fleet/FleetSystem.cpp
@@ -249,15 +249,14 @@
         send(id, makeUpdate(state));
 }
 
-void FleetSystem::requestItems(TimePoint now, const PublishedState &state)
+std::vector<HostId> FleetSystem::hostsAhead(TimePoint now, const PublishedState &state)
 {
-    if (now < m_requestPendingUntil)
-        return;
     // A host that watches the platform requests a change only if it still lacks it some time after
     // another host has it: its connection may have stopped delivering.
     const bool watchesPlatform = m_description.reachesPlatform && mustWatchPlatform(now);
     const Duration lag = watchesPlatform ? watchLag : Duration::zero();
     std::vector<HostId> ahead;
+    m_behindSince.reset();
     for (auto &[id, host] : m_hosts) {
         if (!isPresent(host, now) || host.revision <= state.revision()) {
             host.aheadSince = TimePoint();
@@ -265,14 +264,33 @@
         }
         if (host.aheadSince == TimePoint())
             host.aheadSince = now;
+        m_behindSince = std::min(m_behindSince.value_or(now), host.aheadSince);
         if (now - host.aheadSince >= lag)
             ahead.push_back(id);
     }
+    return ahead;
+}
+
+void FleetSystem::countUnanswered()
+{
+    if (!m_requestedFrom.isValid())
+        return;
+    ++m_counters.itemRequestsUnanswered;
+    m_counters.lastUnanswered = std::exchange(m_requestedFrom, {});
+}
+
+void FleetSystem::requestItems(TimePoint now, const PublishedState &state)
+{
+    const std::vector<HostId> ahead = hostsAhead(now, state);
+    if (now < m_requestPendingUntil)
+        return;
+    countUnanswered();
     if (ahead.empty())
         return;
+    ++m_counters.itemRequests;
     m_requestPendingUntil = now + requestTimeout;
-    const HostId chosen = ahead[m_random() % ahead.size()];
-    m_outgoing.push_back(OutgoingFleetMessage{ chosen, m_hosts[chosen].description.peerAddress,
+    m_requestedFrom = ahead[m_random() % ahead.size()];
+    m_outgoing.push_back(OutgoingFleetMessage{ m_requestedFrom, addressOf(m_requestedFrom),
                                                PublishedRequest{ state.revision() } });
 }
 
--- a/currantreel/src/Fleet/FleetSystem.h
+++ b/currantreel/src/Fleet/FleetSystem.h
@@ -4,6 +4,7 @@
 #include "../Core/Time.h"
 #include "FleetMessages.h"
 #include <map>
+#include <optional>
 #include <random>
 #include <utility>
 #include <variant>
@@ -19,6 +20,14 @@
     std::variant<FleetUpdate, PublishedRequest, PublishedUpdate> message;
 };
 
+/// What became of the requests for published items.
+struct FleetCounters
+{
+    std::uint64_t itemRequests = 0;
+    std::uint64_t itemRequestsUnanswered = 0; ///< Of these, without an answer in time.
+    HostId lastUnanswered; ///< Host that left the last unanswered request without an answer.
+};
+
 /// Tracks the other hosts of a deployment. Hosts are discovered through seed addresses and through
 /// each other. A host is present while its heartbeat rises, and reports up to which revision it has
 /// the state that the platform publishes.
@@ -43,7 +52,11 @@
     /// Queues an answer with the items of @p state above the requested revision, if there are any.
     void receive(HostId from, const PublishedRequest &request, const PublishedState &state);
     /// The requested items arrived, so that further ones may be requested.
-    void onItemsReceived() { m_requestPendingUntil = TimePoint(); }
+    void onItemsReceived()
+    {
+        m_requestPendingUntil = TimePoint();
+        m_requestedFrom = {};
+    }
 
     /// Returns the messages that are due. @param self this host as it describes itself to others.
     [[nodiscard]] std::vector<OutgoingFleetMessage> run(TimePoint now, const FleetHost &self,
@@ -73,6 +86,15 @@
     /// True if the heartbeat of @p host rose within the last seconds.
     [[nodiscard]] bool isPresent(TimePoint now, HostId host) const;
 
+    [[nodiscard]] const FleetCounters &counters() const { return m_counters; }
+
+    /// For how long this host has known, as of the last run(), that its published state is older
+    /// than that of another host.
+    [[nodiscard]] Duration timeBehind(TimePoint now) const
+    {
+        return m_behindSince ? now - *m_behindSince : Duration::zero();
+    }
+
     /// Identifier of the host that accepts peers at @p peerAddress.
     [[nodiscard]] static HostId idOf(const Address &peerAddress);
 
@@ -100,6 +122,8 @@
     void send(HostId to, FleetUpdate message);
     void announceChange(TimePoint now, const PublishedState &state);
     void requestItems(TimePoint now, const PublishedState &state);
+    [[nodiscard]] std::vector<HostId> hostsAhead(TimePoint now, const PublishedState &state);
+    void countUnanswered();
     void removeExpired(TimePoint now);
     [[nodiscard]] bool isPresent(const Host &host, TimePoint now) const;
 
@@ -117,6 +141,9 @@
     TimePoint m_nextUpdateAt;
     TimePoint m_nextProbeAt;
     TimePoint m_requestPendingUntil; ///< End of the wait for requested items.
+    HostId m_requestedFrom; ///< Host whose answer with items is pending; invalid if none.
+    std::optional<TimePoint> m_behindSince; ///< Since when another host's state is newer.
+    FleetCounters m_counters;
     TimePoint m_startedAt;
     bool m_isStarted = false;
 };
--- a/currantreel/src/Forward/PublishedState.h
+++ b/currantreel/src/Forward/PublishedState.h
@@ -52,6 +52,8 @@
     [[nodiscard]] std::vector<PublishedItem> changesAfter(std::uint64_t revision) const;
 
     [[nodiscard]] std::size_t size() const { return m_items.size(); }
+    /// Number of removals that are deferred now.
+    [[nodiscard]] std::size_t deferredRemovals() const { return m_deferred.size(); }
 
 private:
     /// A removal that takes effect later. Another outage of the platform does not delay it further.
--- a/currantreel/src/Shell/ForwardDaemon.cpp
+++ b/currantreel/src/Shell/ForwardDaemon.cpp
@@ -17,6 +17,10 @@
 constexpr int exitListenFailed = 3;
 constexpr int exitStopTimedOut = 4;
 
+/// Sources of published changes in the log, besides other hosts.
+constexpr const char *platformSource = "platform";
+constexpr const char *deferredSource = "deferred";
+
 constexpr Duration tickInterval = 25ms;
 /// Interval at which the settings file is checked for changes.
 constexpr Duration settingsCheckInterval = 2s;
@@ -89,15 +93,16 @@
       m_log(m_settings.name, wallClockMilliseconds()),
       m_system(FailureDomainId::ofName(m_settings.failureDomain), randomSeed()),
       m_callers(m_base.get(), m_settings, m_log, m_system, [this] { applyEffects(); }),
+      m_publishedLog(m_log),
       m_store(m_base.get(), m_settings.platform.front(),
               makeStoreCallbacks(
                   [this](const PublishedPage &page) {
                       setStoreReachable(true, {});
-                      apply(steadyNow(), m_reader.onPage(steadyNow(), page));
+                      apply(steadyNow(), platformSource, m_reader.onPage(steadyNow(), page));
                   },
                   [this](const PublishedChanges &changes) {
                       setStoreReachable(true, {});
-                      apply(steadyNow(), m_reader.onChanges(steadyNow(), changes));
+                      apply(steadyNow(), platformSource, m_reader.onChanges(steadyNow(), changes));
                   },
                   [this](ReadFailure failure, const std::string &detail) {
                       onStoreFailed(failure, detail);
@@ -111,7 +116,9 @@
               FleetSystem::idOf(m_settings.peers), Incarnation{ wallClockMilliseconds() }, {} },
           m_log, [](HostId /*host*/) { return true; },
           [this](Event event) { onPeerEvent(std::move(event)); }),
-      m_operators(m_base.get(), m_settings, m_log, m_system, [this] { return isReady(); }),
+      m_operators(
+          m_base.get(), m_settings, m_log, m_system, [this] { return isReady(); },
+          [this] { return reportPublishedState(); }),
       m_tick(event_new(m_base.get(), -1, EV_PERSIST, &ForwardDaemon::onTick, this)),
       m_sweep(event_new(m_base.get(), -1, 0, &ForwardDaemon::onSweep, this)),
       m_terminate(evsignal_new(m_base.get(), SIGTERM, &ForwardDaemon::onTerminate, this)),
@@ -190,7 +197,7 @@
 {
     const TimePoint time = steadyNow();
     m_reader.run(time);
-    apply(time, m_published.takeDueRemovals(time));
+    apply(time, deferredSource, m_published.takeDueRemovals(time));
     runFleet(time);
     m_system.run(time);
     applyEffects();
--- a/currantreel/src/Shell/ForwardDaemon.h
+++ b/currantreel/src/Shell/ForwardDaemon.h
@@ -8,6 +8,7 @@
 #include "ForwardHttpServer.h"
 #include "ForwardOperatorHttpServer.h"
 #include "PeerLinks.h"
+#include "PublishedStateLog.h"
 #include <platform/PublishedDocuments.h>
 #include <platform/StoreClient.h>
 
@@ -39,7 +40,9 @@
     void reload();
     void checkSettingsFile(TimePoint now);
     void closeIdleConnections(TimePoint time);
-    void apply(TimePoint now, const std::vector<PublishedItem> &changedItems);
+    /// Applies @p changedItems. @param source of the changes, for the log.
+    void apply(TimePoint now, const std::string &source,
+               const std::vector<PublishedItem> &changedItems);
     void applyDocument(TimePoint now, const PublishedItem &item,
                        std::shared_ptr<const RouteConfiguration> configuration);
     void applyDocument(TimePoint now, const PublishedItem &item, const ServerAnnouncement &server);
@@ -75,6 +78,7 @@
     {
         m_callers.handle(effect);
     }
+    [[nodiscard]] PublishedStateReport reportPublishedState() const;
     [[nodiscard]] bool isReady() const;
     void logReadiness();
 
@@ -91,6 +95,7 @@
     ForwardSystem m_system;
     ForwardHttpServer m_callers;
     PublishedState m_published;
+    PublishedStateLog m_publishedLog;
     platform::StoreClient m_store;
     Reader m_reader;
     FleetSystem m_fleet;
--- a/currantreel/src/Shell/ForwardDaemonUpdates.cpp
+++ b/currantreel/src/Shell/ForwardDaemonUpdates.cpp
@@ -28,10 +28,12 @@
 
 } // namespace
 
-void ForwardDaemon::apply(TimePoint time, const std::vector<PublishedItem> &changedItems)
+void ForwardDaemon::apply(TimePoint time, const std::string &source,
+                          const std::vector<PublishedItem> &changedItems)
 {
     if (changedItems.empty())
         return;
+    m_publishedLog.onApplied(source, changedItems);
     for (const PublishedItem &item : changedItems) {
         std::visit([&](auto &&document) { applyDocument(time, item, document); },
                    platform::decodeDocument(item));
@@ -102,10 +104,11 @@
     sendFleet(steadyNow());
 }
 
-void ForwardDaemon::receive(HostId /*from*/, const PublishedUpdate &update)
+void ForwardDaemon::receive(HostId from, const PublishedUpdate &update)
 {
     m_fleet.onItemsReceived();
-    apply(steadyNow(), m_published.apply(steadyNow(), update.items));
+    apply(steadyNow(), toText(m_fleet.addressOf(from)),
+          m_published.apply(steadyNow(), update.items));
     sendFleet(steadyNow());
 }
 
@@ -173,6 +176,17 @@
     return self;
 }
 
+PublishedStateReport ForwardDaemon::reportPublishedState() const
+{
+    PublishedStateReport report;
+    report.revision = m_published.revision();
+    report.deferredRemovals = m_published.deferredRemovals();
+    report.behind = m_fleet.timeBehind(steadyNow());
+    report.itemRequests = m_fleet.counters().itemRequests;
+    report.itemRequestsUnanswered = m_fleet.counters().itemRequestsUnanswered;
+    return report;
+}
+
 void ForwardDaemon::sendFleet(TimePoint time)
 {
     for (const OutgoingFleetMessage &outgoing : m_fleet.run(time, describeSelf(), m_published)) {
@@ -185,6 +199,7 @@
 void ForwardDaemon::runFleet(TimePoint time)
 {
     sendFleet(time);
+    m_publishedLog.run(time, m_fleet, m_published);
     const bool mustWatchPlatform = m_fleet.mustWatchPlatform(time);
     if (mustWatchPlatform != m_reader.isWatching())
         m_log.write(mustWatchPlatform ? "platform_reading" : "platform_left_to_others",
--- a/currantreel/src/Shell/ForwardOperatorHttpServer.cpp
+++ b/currantreel/src/Shell/ForwardOperatorHttpServer.cpp
@@ -15,13 +15,14 @@
 
 } // namespace
 
-ForwardOperatorHttpServer::ForwardOperatorHttpServer(event_base *base, const HostSettings &settings,
-                                                     const Log &log, const ForwardSystem &system,
-                                                     std::function<bool()> isReady)
+ForwardOperatorHttpServer::ForwardOperatorHttpServer(
+    event_base *base, const HostSettings &settings, const Log &log, const ForwardSystem &system,
+    std::function<bool()> isReady, std::function<PublishedStateReport()> publishedState)
     : m_settings(&settings),
       m_log(&log),
       m_system(&system),
       m_isReady(std::move(isReady)),
+      m_publishedState(std::move(publishedState)),
       m_server(evhttp_new(base))
 {
     evhttp_set_gencb(m_server.get(), &ForwardOperatorHttpServer::onRequest, this);
@@ -101,6 +102,9 @@
     for (const auto &[code, count] : counters.refused)
         fmt::format_to(std::back_inserter(text), "currantreel_refused_total{{code=\"{}\"}} {}\n",
                        number(code), count);
+    const PublishedStateReport published = m_publishedState();
+    counter("currantreel_published_requests_total", published.itemRequests);
+    counter("currantreel_published_requests_unanswered_total", published.itemRequestsUnanswered);
     counter("currantreel_log_lines_dropped_total", m_log->dropped());
     counters.firstEvents.append(text, "currantreel_first_event_seconds");
     counters.pauses.append(text, "currantreel_pause_seconds");
@@ -108,6 +112,10 @@
     gauge("currantreel_requests_queued", m_system->queued());
     gauge("currantreel_backend_servers", m_system->directory().size());
     gauge("currantreel_configuration_version", m_system->routes().version());
+    gauge("currantreel_published_revision", published.revision);
+    gauge("currantreel_published_deferred_removals", published.deferredRemovals);
+    gauge("currantreel_published_behind_milliseconds",
+          static_cast<std::uint64_t>(toMilliseconds(published.behind)));
     return text;
 }
 
--- a/currantreel/src/Shell/ForwardOperatorHttpServer.h
+++ b/currantreel/src/Shell/ForwardOperatorHttpServer.h
@@ -9,13 +9,24 @@
 
 namespace currantreel {
 
+/// State of the published items on a host, for its metrics.
+struct PublishedStateReport
+{
+    std::uint64_t revision = 0;
+    std::size_t deferredRemovals = 0;
+    Duration behind{}; ///< For how long the host has known that another one has newer state.
+    std::uint64_t itemRequests = 0;
+    std::uint64_t itemRequestsUnanswered = 0;
+};
+
 /// HTTP server for operators of a host that serves published routes: health, readiness, status and
 /// metrics.
 class ForwardOperatorHttpServer
 {
 public:
     ForwardOperatorHttpServer(event_base *base, const HostSettings &settings, const Log &log,
-                              const ForwardSystem &system, std::function<bool()> isReady);
+                              const ForwardSystem &system, std::function<bool()> isReady,
+                              std::function<PublishedStateReport()> publishedState);
 
     /// Starts listening. Returns false if the address cannot be bound.
     [[nodiscard]] bool listen();
@@ -30,6 +41,7 @@
     const Log *m_log;
     const ForwardSystem *m_system;
     std::function<bool()> m_isReady;
+    std::function<PublishedStateReport()> m_publishedState;
     HttpServerHandle m_server;
 };
 
