--- /dev/null
+++ b/test/PublishedSpreadTest.cpp
@@ -0,0 +1,254 @@
+#include <algorithm>
+#include <currantreel/Fleet>
+#include <currantreel/Peer>
+#include <doctest/doctest.h>
+#include <memory>
+#include <queue>
+#include <random>
+
+using namespace currantreel;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Time within which a published change has to be in force on all hosts.
+constexpr Duration changeBound = 3s;
+
+/// Hosts with links of a limited bandwidth, a processor that takes time to decode large values, and
+/// a platform that some of them watch. All in virtual time.
+class SpreadNetwork
+{
+public:
+    static constexpr double linkBytesPerSecond = 1'250'000.0;
+    static constexpr Duration latency = 1ms;
+    static constexpr Duration decodePerMegabyte = 700ms;
+    static constexpr std::size_t domains = 3;
+
+    SpreadNetwork(std::size_t count, std::uint64_t seed) : m_random(seed)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            Node &node = m_nodes.emplace_back();
+            node.address =
+                Address{ "10.0." + std::to_string(i / 200) + "." + std::to_string(i % 200 + 1),
+                         7000 };
+            node.id = FleetSystem::idOf(node.address);
+            node.fleet = std::make_unique<FleetSystem>(node.address, 1, seed * count + i);
+            node.self.failureDomain = FailureDomainId{ 1 + i % domains };
+            node.self.reachesPlatform = true;
+            node.tickAt = m_now + std::chrono::microseconds(m_random() % 25'000);
+            m_indexOf[node.id] = i;
+        }
+        for (Node &node : m_nodes)
+            node.fleet->setSeeds({ m_nodes[0].address, m_nodes[1].address, m_nodes[2].address });
+    }
+
+    void advance(Duration time)
+    {
+        for (const TimePoint until = m_now + time; m_now < until; m_now += 1ms)
+            step();
+    }
+
+    /// Publishes @p item, which the watching hosts receive within their next watch.
+    void publish(const PublishedItem &item)
+    {
+        m_published[item.revision] = m_now;
+        for (Node &node : m_nodes) {
+            if (!node.isDown && node.fleet->mustWatchPlatform(m_now)) {
+                const Duration spacing = std::chrono::milliseconds(5 + m_random() % 150);
+                const TimePoint readAt = std::max(m_now + spacing, node.receivingUntil)
+                                         + transferTime(item.value.size());
+                node.receivingUntil = readAt;
+                m_arrivals.push(Arrival{
+                    readAt, m_nextArrival++, indexOf(node), PublishedUpdate{ { item } }, {} });
+            }
+        }
+    }
+
+    /// Ends the processes of @p hosts without notice.
+    void kill(const std::vector<std::size_t> &hosts)
+    {
+        for (const std::size_t host : hosts)
+            m_nodes[host].isDown = true;
+    }
+
+    /// Hosts that watch the platform now.
+    [[nodiscard]] std::vector<std::size_t> watchers() const
+    {
+        std::vector<std::size_t> result;
+        for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+            if (!m_nodes[i].isDown && m_nodes[i].fleet->mustWatchPlatform(m_now))
+                result.push_back(i);
+        }
+        return result;
+    }
+
+    /// Time from the publication of @p key at @p revision until the last host had it; the time since
+    /// then if a host lacks it.
+    [[nodiscard]] Duration timeToAll(const std::string &key, std::uint64_t revision) const
+    {
+        TimePoint last = m_published.at(revision);
+        for (const Node &node : m_nodes) {
+            if (node.isDown)
+                continue;
+            const auto found = node.appliedAt.find({ key, revision });
+            last = std::max(last, found == node.appliedAt.end() ? m_now : found->second);
+        }
+        return last - m_published.at(revision);
+    }
+
+private:
+    struct Node
+    {
+        Address address;
+        HostId id;
+        std::unique_ptr<FleetSystem> fleet;
+        PublishedState state;
+        FleetHost self;
+        TimePoint tickAt;
+        TimePoint sendingUntil; ///< End of what its link still has to send.
+        TimePoint receivingUntil;
+        TimePoint busyUntil; ///< End of what its processor is at work on.
+        std::map<std::pair<std::string, std::uint64_t>, TimePoint> appliedAt;
+        bool isDown = false;
+    };
+
+    struct Arrival
+    {
+        TimePoint at;
+        std::uint64_t order = 0;
+        std::size_t to = 0;
+        std::variant<FleetUpdate, PublishedRequest, PublishedUpdate> message;
+        HostId from; ///< Invalid for what the platform sends.
+
+        bool operator<(const Arrival &other) const
+        {
+            return std::tie(at, order) > std::tie(other.at, other.order);
+        }
+    };
+
+    static Duration transferTime(std::size_t bytes)
+    {
+        return std::chrono::duration_cast<Duration>(
+            std::chrono::duration<double>(static_cast<double>(bytes) / linkBytesPerSecond));
+    }
+
+    [[nodiscard]] std::size_t indexOf(const Node &node) const { return m_indexOf.at(node.id); }
+
+    void step()
+    {
+        while (!m_arrivals.empty() && m_arrivals.top().at <= m_now) {
+            const Arrival arrival = m_arrivals.top();
+            m_arrivals.pop();
+            Node &node = m_nodes[arrival.to];
+            if (node.isDown)
+                continue;
+            if (node.busyUntil > m_now) {
+                m_arrivals.push(Arrival{ node.busyUntil, m_nextArrival++, arrival.to,
+                                         arrival.message, arrival.from });
+                continue;
+            }
+            std::visit([&](const auto &message) { deliver(node, arrival.from, message); },
+                       arrival.message);
+        }
+        for (Node &node : m_nodes) {
+            if (node.isDown || node.tickAt > m_now || node.busyUntil > m_now)
+                continue;
+            node.tickAt = m_now + 25ms;
+            run(node);
+        }
+    }
+
+    void run(Node &node)
+    {
+        for (OutgoingFleetMessage &outgoing : node.fleet->run(m_now, node.self, node.state))
+            send(node, std::move(outgoing));
+    }
+
+    void send(Node &from, OutgoingFleetMessage outgoing)
+    {
+        const PeerMessage message = std::visit(
+            [](const auto &alternative) -> PeerMessage { return alternative; }, outgoing.message);
+        const std::size_t bytes = encodeFrame(PeerFrame{ Incarnation{ 5 }, 6, message }).size();
+        Node &to = m_nodes[m_indexOf.at(outgoing.to)];
+        from.sendingUntil = std::max(from.sendingUntil, m_now) + transferTime(bytes);
+        to.receivingUntil = std::max(to.receivingUntil + transferTime(bytes), from.sendingUntil);
+        m_arrivals.push(Arrival{ to.receivingUntil + latency, m_nextArrival++, indexOf(to),
+                                 std::move(outgoing.message), from.id });
+    }
+
+    void deliver(Node &node, HostId from, const FleetUpdate &update)
+    {
+        node.fleet->receive(m_now, from, update);
+    }
+
+    void deliver(Node &node, HostId from, const PublishedRequest &request)
+    {
+        node.fleet->receive(from, request, node.state);
+        run(node);
+    }
+
+    void deliver(Node &node, HostId from, const PublishedUpdate &update)
+    {
+        if (from.isValid())
+            node.fleet->onItemsReceived();
+        std::size_t bytes = 0;
+        for (const PublishedItem &item : node.state.apply(m_now, update.items)) {
+            bytes += item.value.size();
+            node.appliedAt[{ item.key, item.revision }] = m_now;
+        }
+        node.busyUntil = m_now + decodePerMegabyte * static_cast<Duration::rep>(bytes) / 1'000'000;
+        run(node);
+    }
+
+    std::vector<Node> m_nodes;
+    std::map<HostId, std::size_t> m_indexOf;
+    std::priority_queue<Arrival> m_arrivals;
+    std::map<std::uint64_t, TimePoint> m_published;
+    std::mt19937_64 m_random;
+    TimePoint m_now{ 1h };
+    std::uint64_t m_nextArrival = 0;
+};
+
+/// A configuration of @p routes routes, as the platform publishes them.
+std::string configurationText(std::size_t routes, std::uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    std::string text = "{\"version\":1,\"routes\":[";
+    for (std::size_t i = 0; i < routes; ++i) {
+        std::string name(8, 'a');
+        std::generate(name.begin(), name.end(),
+                      [&random] { return static_cast<char>('a' + random() % 26); });
+        text += "{\"name\":\"" + name + "\",\"host\":\"" + name.substr(0, 2)
+                + ".example\",\"path-prefix\":\"/" + name
+                + "/\",\"kind\":\"streaming\",\"timeout-ms\":15000,\"priority\":1,\"service\":"
+                  "\"engines\",\"max-attempts\":2,\"no-auth\":false,\"affinity\":true},";
+    }
+    return text + "]}";
+}
+
+} // namespace
+
+TEST_CASE("a leaving server and a configuration of 1,400 routes that was published just before are "
+          "in force on all hosts within the bound")
+{
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        SpreadNetwork network(87, seed);
+        network.advance(15s);
+        std::uint64_t revision = 1;
+        for (int change = 0; change < 4; ++change) {
+            const std::uint64_t configuration = ++revision;
+            network.publish(
+                { "configuration", configurationText(1'400, revision), revision, false });
+            network.advance(175ms);
+            const std::uint64_t leaving = ++revision;
+            network.publish({ "server", "leaving", revision, false });
+            network.advance(1'825ms);
+            network.publish({ "other", "ready", ++revision, false });
+            network.advance(4s);
+            CHECK(network.timeToAll("configuration", configuration) <= changeBound);
+            CHECK(network.timeToAll("server", leaving) <= changeBound);
+            MESSAGE(toMilliseconds(network.timeToAll("configuration", configuration)), " ",
+                    toMilliseconds(network.timeToAll("server", leaving)));
+        }
+    }
+}
