A host's revision of the published state says up to where it is complete, not the highest one it has seen

If a server left after the first page was read and a later page held a newer revision, the host announced that one. Change: the revision is passed with each batch of changes (that of the listing's first page, that of the watch's answer, that of the answering host), and an answer says after which revision its items are complete.

--- a/currantreel/src/Fleet/FleetMessages.h
+++ b/currantreel/src/Fleet/FleetMessages.h
@@ -40,6 +40,8 @@
 /// Published items that the receiver requested, in order of their revisions.
 struct PublishedUpdate
 {
+    std::uint64_t after = 0; ///< The requested revision.
+    std::uint64_t revision = 0; ///< Up to which the items are all changes after the requested one.
     std::vector<PublishedItem> items;
 };
 
--- a/currantreel/src/Fleet/FleetSystem.cpp
+++ b/currantreel/src/Fleet/FleetSystem.cpp
@@ -59,19 +59,26 @@
 constexpr Duration minExclusion = 1s;
 constexpr Duration maxExclusion = 8s;
 
-/// The @p items of the lowest revisions that fit into one message, at least one.
-std::vector<PublishedItem> firstItems(std::vector<PublishedItem> items)
+/// Answer to a request for the changes of @p state after @p revision: those of the lowest revisions
+/// that fit into one message, at least one.
+PublishedUpdate makePublishedUpdate(const PublishedState &state, std::uint64_t revision)
 {
-    std::sort(items.begin(), items.end(),
+    PublishedUpdate update;
+    update.after = revision;
+    update.items = state.changesAfter(revision);
+    std::sort(update.items.begin(), update.items.end(),
               [](const PublishedItem &left, const PublishedItem &right) {
                   return left.revision < right.revision;
               });
     std::size_t bytes = 0;
     std::size_t count = 0;
-    while (count < items.size() && (count == 0 || bytes + items[count].value.size() < maxItemBytes))
-        bytes += items[count++].value.size();
-    items.resize(count);
-    return items;
+    while (count < update.items.size()
+           && (count == 0 || bytes + update.items[count].value.size() < maxItemBytes))
+        bytes += update.items[count++].value.size();
+    const bool isComplete = count == update.items.size();
+    update.revision = isComplete ? state.sharedRevision() : update.items[count].revision - 1;
+    update.items.resize(count);
+    return update;
 }
 
 /// Rank of @p host as owner of a partition of a service. Weighted rendezvous hashing: hosts own
@@ -156,10 +163,18 @@
 void FleetSystem::receive(HostId from, const PublishedRequest &request, const PublishedState &state)
 {
     const Address address = addressOf(from);
-    std::vector<PublishedItem> items = firstItems(state.changesAfter(request.revision));
-    if (!items.empty() && !address.ip.empty())
-        m_outgoing.push_back(
-            OutgoingFleetMessage{ from, address, PublishedUpdate{ std::move(items) } });
+    PublishedUpdate update = makePublishedUpdate(state, request.revision);
+    if (!update.items.empty() && !address.ip.empty())
+        m_outgoing.push_back(OutgoingFleetMessage{ from, address, std::move(update) });
+}
+
+std::vector<PublishedItem> FleetSystem::receive(TimePoint now, const PublishedUpdate &update,
+                                                PublishedState &state)
+{
+    m_requestPendingUntil = TimePoint();
+    m_requestedFrom = {};
+    const bool isGapless = update.after <= state.revision();
+    return state.apply(now, update.items, isGapless ? update.revision : 0);
 }
 
 bool FleetSystem::isPresent(const Host &host, TimePoint now) const
--- a/currantreel/src/Fleet/FleetSystem.h
+++ b/currantreel/src/Fleet/FleetSystem.h
@@ -51,12 +51,10 @@
     void receive(TimePoint now, HostId from, const FleetUpdate &update);
     /// Queues an answer with the items of @p state above the requested revision, if there are any.
     void receive(HostId from, const PublishedRequest &request, const PublishedState &state);
-    /// The requested items arrived, so that further ones may be requested.
-    void onItemsReceived()
-    {
-        m_requestPendingUntil = TimePoint();
-        m_requestedFrom = {};
-    }
+    /// Applies requested items to @p state, so that further ones may be requested. Returns those that
+    /// took effect.
+    std::vector<PublishedItem> receive(TimePoint now, const PublishedUpdate &update,
+                                       PublishedState &state);
 
     /// Returns the messages that are due. @param self this host as it describes itself to others.
     [[nodiscard]] std::vector<OutgoingFleetMessage> run(TimePoint now, const FleetHost &self,
--- a/currantreel/src/Forward/PublishedReader.h
+++ b/currantreel/src/Forward/PublishedReader.h
@@ -109,7 +109,7 @@
     {
         onAnswered(now);
         m_watchedRevision = std::max(m_watchedRevision, changes.revision);
-        std::vector<PublishedItem> changed = m_state->apply(now, changes.items);
+        std::vector<PublishedItem> changed = m_state->apply(now, changes.items, m_watchedRevision);
         if (changes.items.empty())
             beginWatch();
         else
--- a/currantreel/src/Forward/PublishedState.cpp
+++ b/currantreel/src/Forward/PublishedState.cpp
@@ -8,7 +8,6 @@
 void PublishedState::applyItem(TimePoint now, const PublishedItem &item,
                                std::vector<PublishedItem> &applied)
 {
-    m_revision = std::max(m_revision, item.revision);
     const auto known = m_items.find(item.key);
     const auto deferred = m_deferred.find(item.key);
     if (known != m_items.end() && known->second.revision >= item.revision)
@@ -29,11 +28,13 @@
 }
 
 std::vector<PublishedItem> PublishedState::apply(TimePoint now,
-                                                 const std::vector<PublishedItem> &items)
+                                                 const std::vector<PublishedItem> &items,
+                                                 std::uint64_t revision)
 {
     std::vector<PublishedItem> applied;
     for (const PublishedItem &item : items)
         applyItem(now, item, applied);
+    m_revision = std::max(m_revision, revision);
     return applied;
 }
 
@@ -50,9 +51,7 @@
         if (isInRange && !known.isRemoved && known.revision < revision && !listed.contains(key))
             changes.push_back(PublishedItem{ key, {}, revision, true });
     }
-    std::vector<PublishedItem> applied = apply(now, changes);
-    m_revision = std::max(m_revision, revision);
-    return applied;
+    return apply(now, changes, revision);
 }
 
 std::vector<PublishedItem> PublishedState::takeDueRemovals(TimePoint now)
--- a/currantreel/src/Forward/PublishedState.h
+++ b/currantreel/src/Forward/PublishedState.h
@@ -26,8 +26,10 @@
 class PublishedState
 {
 public:
-    /// Applies changes. Returns those that took effect.
-    std::vector<PublishedItem> apply(TimePoint now, const std::vector<PublishedItem> &items);
+    /// Applies changes, after which the state is complete up to @p revision. Returns those that took
+    /// effect.
+    std::vector<PublishedItem> apply(TimePoint now, const std::vector<PublishedItem> &items,
+                                     std::uint64_t revision);
 
     /// Applies a complete listing of the keys that begin with @p prefix, taken at @p revision: keys
     /// missing in it were removed, unless they changed later. Returns the changes that took effect.
@@ -41,7 +43,7 @@
     /// Applies and returns the deferred removals once their delay is over.
     std::vector<PublishedItem> takeDueRemovals(TimePoint now);
 
-    /// Highest revision received.
+    /// Revision up to which all changes were received. Some later ones may be here too.
     [[nodiscard]] std::uint64_t revision() const { return m_revision; }
 
     /// Highest revision that is sent to other hosts: below that of any deferred removal, which is
--- a/currantreel/src/Peer/Generated/PeerMessage_generated.h
+++ b/currantreel/src/Peer/Generated/PeerMessage_generated.h
@@ -3480,16 +3480,26 @@
   typedef PublishedNewsBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_ITEMS = 4
+    VT_ITEMS = 4,
+    VT_AFTER = 6,
+    VT_REVISION = 8
   };
   const flatbuffers::Vector<flatbuffers::Offset<currantreel::wire::PublishedItem>> *items() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<currantreel::wire::PublishedItem>> *>(VT_ITEMS);
   }
+  uint64_t after() const {
+    return GetField<uint64_t>(VT_AFTER, 0);
+  }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ITEMS) &&
            verifier.VerifyVector(items()) &&
            verifier.VerifyVectorOfTables(items()) &&
+           VerifyField<uint64_t>(verifier, VT_AFTER, 8) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
            verifier.EndTable();
   }
 };
@@ -3501,6 +3511,12 @@
   void add_items(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<currantreel::wire::PublishedItem>>> items) {
     fbb_.AddOffset(PublishedNews::VT_ITEMS, items);
   }
+  void add_after(uint64_t after) {
+    fbb_.AddElement<uint64_t>(PublishedNews::VT_AFTER, after, 0);
+  }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(PublishedNews::VT_REVISION, revision, 0);
+  }
   explicit PublishedNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3514,8 +3530,12 @@
 
 inline flatbuffers::Offset<PublishedNews> CreatePublishedNews(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<currantreel::wire::PublishedItem>>> items = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<currantreel::wire::PublishedItem>>> items = 0,
+    uint64_t after = 0,
+    uint64_t revision = 0) {
   PublishedNewsBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  builder_.add_after(after);
   builder_.add_items(items);
   return builder_.Finish();
 }
@@ -3527,11 +3547,15 @@
 
 inline flatbuffers::Offset<PublishedNews> CreatePublishedNewsDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<flatbuffers::Offset<currantreel::wire::PublishedItem>> *items = nullptr) {
+    const std::vector<flatbuffers::Offset<currantreel::wire::PublishedItem>> *items = nullptr,
+    uint64_t after = 0,
+    uint64_t revision = 0) {
   auto items__ = items ? _fbb.CreateVector<flatbuffers::Offset<currantreel::wire::PublishedItem>>(*items) : 0;
   return currantreel::wire::CreatePublishedNews(
       _fbb,
-      items__);
+      items__,
+      after,
+      revision);
 }
 
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/currantreel/src/Peer/PeerDecoder.cpp
+++ b/currantreel/src/Peer/PeerDecoder.cpp
@@ -372,6 +372,8 @@
 PublishedUpdate decode(FieldReader &reader, const wire::PublishedNews &table)
 {
     PublishedUpdate update;
+    update.after = table.after();
+    update.revision = table.revision();
     if (!table.items())
         return update;
     for (const wire::PublishedItem *item : *table.items()) {
--- a/currantreel/src/Peer/PeerEncoder.cpp
+++ b/currantreel/src/Peer/PeerEncoder.cpp
@@ -257,7 +257,8 @@
         items.push_back(
             wire::CreatePublishedItem(builder, key, value, item.revision, item.isRemoved));
     }
-    return bodyOf(wire::CreatePublishedNews(builder, builder.CreateVector(items)));
+    return bodyOf(wire::CreatePublishedNews(builder, builder.CreateVector(items), message.after,
+                                            message.revision));
 }
 
 template <typename Message>
--- a/currantreel/src/Shell/ForwardDaemonUpdates.cpp
+++ b/currantreel/src/Shell/ForwardDaemonUpdates.cpp
@@ -106,9 +106,8 @@
 
 void ForwardDaemon::receive(HostId from, const PublishedUpdate &update)
 {
-    m_fleet.onItemsReceived();
     apply(steadyNow(), toText(m_fleet.addressOf(from)),
-          m_published.apply(steadyNow(), update.items));
+          m_fleet.receive(steadyNow(), update, m_published));
     sendFleet(steadyNow());
 }
 
