A deferred removal no longer keeps a host from passing on later changes

Cause: a removal that is deferred after an outage of the platform was kept from other hosts until it took effect, and with it every later change, since a host's revision told others up to where it is complete. Change: the removal is passed on at once with the time that is left, and others defer it as long. A host's revision no longer falls.

--- a/currantreel/src/Fleet/FleetMessages.h
+++ b/currantreel/src/Fleet/FleetMessages.h
@@ -28,6 +28,7 @@
 {
     FleetHost sender;
     std::uint64_t revision = 0; ///< Up to which the sender has the published state.
+    Duration age = maxPublishedAge; ///< Of the sender's published state.
     std::vector<FleetHost> hosts; ///< Some of the other hosts that are present.
 };
 
@@ -37,11 +38,13 @@
     std::uint64_t revision = 0;
 };
 
-/// Published items that the receiver requested, in order of their revisions.
+/// Published items that the receiver requested, in order of their revisions. None if the sender has
+/// no change after the requested revision.
 struct PublishedUpdate
 {
     std::uint64_t after = 0; ///< The requested revision.
     std::uint64_t revision = 0; ///< Up to which the items are all changes after the requested one.
+    Duration age = maxPublishedAge; ///< Of the published state at this revision.
     std::vector<PublishedItem> items;
 };
 
--- a/currantreel/src/Fleet/FleetSystem.cpp
+++ b/currantreel/src/Fleet/FleetSystem.cpp
@@ -47,7 +47,7 @@
 /// Time after which published items are requested again, from a host drawn anew.
 constexpr Duration requestTimeout = 800ms;
 /// Maximum bytes of published items in one message, unless a single item is larger.
-constexpr std::size_t maxItemBytes = 128UL * 1024;
+constexpr std::size_t maxItemBytes = 512UL * 1024;
 /// Hosts of a failure domain that watch the platform in normal operation.
 constexpr std::size_t watchersPerDomain = 3;
 /// A host does not watch the platform for this long after its start: by then it knows most of the
@@ -60,12 +60,13 @@
 constexpr Duration maxExclusion = 8s;
 
 /// Answer to a request for the changes of @p state after @p revision: those of the lowest revisions
-/// that fit into one message, at least one.
-PublishedUpdate makePublishedUpdate(const PublishedState &state, std::uint64_t revision)
+/// that fit into one message, at least one if there are any.
+PublishedUpdate makePublishedUpdate(TimePoint now, const PublishedState &state,
+                                    std::uint64_t revision)
 {
     PublishedUpdate update;
     update.after = revision;
-    update.items = state.changesAfter(revision);
+    update.items = state.changesAfter(now, revision);
     std::sort(update.items.begin(), update.items.end(),
               [](const PublishedItem &left, const PublishedItem &right) {
                   return left.revision < right.revision;
@@ -75,12 +76,23 @@
     while (count < update.items.size()
            && (count == 0 || bytes + update.items[count].value.size() < maxItemBytes))
         bytes += update.items[count++].value.size();
-    const bool isComplete = count == update.items.size();
-    update.revision = isComplete ? state.sharedRevision() : update.items[count].revision - 1;
-    update.items.resize(count);
+    if (count == update.items.size()) {
+        update.revision = state.revision();
+        update.age = state.age(now);
+    } else {
+        update.revision = std::min(state.revision(), update.items[count].revision - 1);
+        update.items.resize(count);
+    }
     return update;
 }
 
+/// Takes over that the state at @p revision was up to date @p age ago, if @p state includes it.
+void confirm(TimePoint now, std::uint64_t revision, Duration age, PublishedState &state)
+{
+    if (revision <= state.revision() && age < maxPublishedAge)
+        state.confirm(now - age);
+}
+
 /// Rank of @p host as owner of a partition of a service. Weighted rendezvous hashing: hosts own
 /// partitions in proportion to their weight.
 double ownerRank(HostId host, std::uint8_t weight, ServiceId service, std::size_t partition)
@@ -142,7 +154,8 @@
         recordHeartbeat(now, host, description);
 }
 
-void FleetSystem::receive(TimePoint now, HostId from, const FleetUpdate &update)
+void FleetSystem::receive(TimePoint now, HostId from, const FleetUpdate &update,
+                          PublishedState &state)
 {
     if (idOf(update.sender.peerAddress) != from || from == m_id)
         return;
@@ -158,23 +171,29 @@
     for (const FleetHost &other : update.hosts)
         merge(now, other);
     m_lastUpdateAt = now;
+    confirm(now, update.revision, update.age, state);
 }
 
-void FleetSystem::receive(HostId from, const PublishedRequest &request, const PublishedState &state)
+void FleetSystem::receive(TimePoint now, HostId from, const PublishedRequest &request,
+                          const PublishedState &state)
 {
     const Address address = addressOf(from);
-    PublishedUpdate update = makePublishedUpdate(state, request.revision);
+    PublishedUpdate update = makePublishedUpdate(now, state, request.revision);
     if (!update.items.empty() && !address.ip.empty())
         m_outgoing.push_back(OutgoingFleetMessage{ from, address, std::move(update) });
 }
 
-std::vector<PublishedItem> FleetSystem::receive(TimePoint now, const PublishedUpdate &update,
+std::vector<PublishedItem> FleetSystem::receive(TimePoint now, HostId /*from*/,
+                                                const PublishedUpdate &update,
                                                 PublishedState &state)
 {
     m_requestPendingUntil = TimePoint();
     m_requestedFrom = {};
     const bool isGapless = update.after <= state.revision();
-    return state.apply(now, update.items, isGapless ? update.revision : 0);
+    std::vector<PublishedItem> applied =
+        state.apply(now, update.items, isGapless ? update.revision : 0);
+    confirm(now, update.revision, update.age, state);
+    return applied;
 }
 
 bool FleetSystem::isPresent(const Host &host, TimePoint now) const
@@ -219,13 +238,14 @@
     return recipients;
 }
 
-FleetUpdate FleetSystem::makeUpdate(const PublishedState &state) const
+FleetUpdate FleetSystem::makeUpdate(TimePoint now, const PublishedState &state) const
 {
     FleetUpdate update;
     update.sender = m_description;
     update.sender.peerAddress = m_self;
     update.sender.heartbeat = m_heartbeat;
-    update.revision = state.sharedRevision();
+    update.revision = state.revision();
+    update.age = state.age(now);
     return update;
 }
 
@@ -252,16 +272,16 @@
 
 void FleetSystem::announceChange(TimePoint now, const PublishedState &state)
 {
-    const bool isNew = state.sharedRevision() > m_announcedRevision;
+    const bool isNew = state.revision() > m_announcedRevision;
     if (!isNew || now - m_changeAnnouncedAt < minChangeInterval)
         return;
-    m_announcedRevision = state.sharedRevision();
+    m_announcedRevision = state.revision();
     m_changeAnnouncedAt = now;
     ++m_heartbeat;
     std::vector<HostId> recipients = shuffledPresentHosts(now);
     recipients.resize(std::min(recipients.size(), changeRecipients));
     for (const HostId id : recipients)
-        send(id, makeUpdate(state));
+        send(id, makeUpdate(now, state));
 }
 
 std::vector<HostId> FleetSystem::hostsAhead(TimePoint now, const PublishedState &state)
@@ -320,7 +340,7 @@
     if (!std::exchange(m_isStarted, true))
         m_startedAt = now;
     ++m_heartbeat;
-    FleetUpdate update = makeUpdate(state);
+    FleetUpdate update = makeUpdate(now, state);
     addHosts(now, update);
     const std::vector<HostId> recipients = selectRecipients(now);
     for (const HostId id : recipients)
--- a/currantreel/src/Fleet/FleetSystem.h
+++ b/currantreel/src/Fleet/FleetSystem.h
@@ -34,8 +34,8 @@
 ///
 /// Hosts relay each other's heartbeats, so that a few messages a second are enough for any number
 /// of hosts. Only some hosts of a failure domain watch the platform. A change is announced at once
-/// to some hosts, which request the changed items and announce it in turn. Does no I/O and reads no
-/// clock: the time is passed as an argument.
+/// to some hosts, which request the changed items and announce it in turn. Does no I/O and reads no clock: the time is
+/// passed as an argument.
 class FleetSystem
 {
 public:
@@ -48,12 +48,13 @@
     void setSeeds(const std::vector<Address> &seeds);
 
     /// Takes over what another host reports. Ignored unless it names @p from as its sender.
-    void receive(TimePoint now, HostId from, const FleetUpdate &update);
-    /// Queues an answer with the items of @p state above the requested revision, if there are any.
-    void receive(HostId from, const PublishedRequest &request, const PublishedState &state);
+    void receive(TimePoint now, HostId from, const FleetUpdate &update, PublishedState &state);
+    /// Queues an answer with the items of @p state above the requested revision.
+    void receive(TimePoint now, HostId from, const PublishedRequest &request,
+                 const PublishedState &state);
     /// Applies requested items to @p state, so that further ones may be requested. Returns those that
     /// took effect.
-    std::vector<PublishedItem> receive(TimePoint now, const PublishedUpdate &update,
+    std::vector<PublishedItem> receive(TimePoint now, HostId from, const PublishedUpdate &update,
                                        PublishedState &state);
 
     /// Returns the messages that are due. @param self this host as it describes itself to others.
@@ -115,7 +116,7 @@
     void recordHeartbeat(TimePoint now, Host &host, const FleetHost &description);
     [[nodiscard]] std::vector<HostId> shuffledPresentHosts(TimePoint now) const;
     [[nodiscard]] std::vector<HostId> selectRecipients(TimePoint now);
-    [[nodiscard]] FleetUpdate makeUpdate(const PublishedState &state) const;
+    [[nodiscard]] FleetUpdate makeUpdate(TimePoint now, const PublishedState &state) const;
     void addHosts(TimePoint now, FleetUpdate &update);
     void send(HostId to, FleetUpdate message);
     void announceChange(TimePoint now, const PublishedState &state);
@@ -134,7 +135,6 @@
     std::vector<OutgoingFleetMessage> m_outgoing;
     std::uint64_t m_announcedRevision = 0; ///< Of the published state, as last announced at once.
     TimePoint m_changeAnnouncedAt;
-    std::optional<TimePoint> m_platformAt; ///< Last confirmation by the platform to any host.
     TimePoint m_lastUpdateAt; ///< When another host's own update last arrived.
     TimePoint m_nextUpdateAt;
     TimePoint m_nextProbeAt;
--- a/currantreel/src/Forward/PublishedReader.h
+++ b/currantreel/src/Forward/PublishedReader.h
@@ -56,6 +56,9 @@
     Duration startPeriod = std::chrono::seconds(6);
     Duration minBackoff = std::chrono::milliseconds(100);
     Duration maxBackoff = std::chrono::milliseconds(800);
+    /// Minimum time between two calls of check(); it doubles with each one that fails.
+    Duration minCheckInterval = std::chrono::milliseconds(400);
+    Duration maxCheckInterval = std::chrono::milliseconds(1'600);
     /// After an outage, removed entries are kept for this long: most writers renew theirs within
     /// it, and a server that has really left still stops receiving new requests within 2 s.
     Duration removalDelay = std::chrono::milliseconds(1'700);
@@ -82,25 +85,30 @@
     {
         m_failingSince = now;
         m_startedAt = now;
-        beginListing();
+        m_checkInterval = m_timing.minCheckInterval;
+        beginListing(now);
     }
 
     /// A page of the listing arrived. Returns the items that changed; none until the last page.
     std::vector<PublishedItem> onPage(TimePoint now, const PublishedPage &page)
     {
         onAnswered(now);
-        if (m_listed.empty())
+        if (m_listed.empty()) {
             m_listRevision = page.revision;
+            m_listedAt = m_calledAt;
+        }
         m_listed.insert(m_listed.end(), page.items.begin(), page.items.end());
         if (page.hasMore && !page.items.empty()) {
+            m_calledAt = now;
             m_source->list(page.items.back().key, m_timing.callTimeout);
             return {};
         }
         std::vector<PublishedItem> changed =
             m_state->replace(now, "", std::exchange(m_listed, {}), m_listRevision);
+        m_state->confirm(m_listedAt);
         m_watchedRevision = m_listRevision;
         m_isComplete = true;
-        beginWatch();
+        beginWatch(now);
         return changed;
     }
 
@@ -110,8 +118,9 @@
         onAnswered(now);
         m_watchedRevision = std::max(m_watchedRevision, changes.revision);
         std::vector<PublishedItem> changed = m_state->apply(now, changes.items, m_watchedRevision);
+        m_state->confirm(std::max(m_calledAt, now - m_timing.callTimeout));
         if (changes.items.empty())
-            beginWatch();
+            beginWatch(now);
         else
             m_retryAt = now
                         + (now - m_startedAt < m_timing.startPeriod ? m_timing.startSpacing
@@ -124,14 +133,20 @@
     {
         if (failure == ReadFailure::HistoryLost) {
             onAnswered(now);
-            beginListing();
+            beginListing(now);
             return;
         }
         m_listed.clear();
         if (!isFailing())
             m_failingSince = now;
+        m_failedAt = now;
         m_backoff = std::clamp(m_backoff * 2, m_timing.minBackoff, m_timing.maxBackoff);
-        m_retryAt = now + m_backoff;
+        m_checkInterval = std::min(m_checkInterval * 2, m_timing.maxCheckInterval);
+        m_isIdle = m_isComplete && !m_isWatching;
+        // Asks without a wait next, so that a platform that answers again is noticed at once.
+        m_isCheck = m_isComplete;
+        if (!m_isIdle)
+            m_retryAt = now + m_backoff;
     }
 
     /// Starts the next call when its delay is over.
@@ -141,9 +156,9 @@
             return;
         m_retryAt.reset();
         if (m_isComplete)
-            beginWatch();
+            beginWatch(now);
         else
-            beginListing();
+            beginListing(now);
     }
 
     /// Sets whether this host watches for changes. While it does not, it receives them from other
@@ -153,9 +168,18 @@
         m_isWatching = isWatching;
         if (!isWatching || !m_isIdle)
             return;
-        m_isIdle = false;
-        m_watchedRevision = std::max(m_watchedRevision, m_state->revision());
-        m_retryAt = now;
+        resume(now);
+    }
+
+    /// Asks the platform once for the changes that this host lacks, without waiting for further ones.
+    /// Does nothing while a call is in progress or scheduled, or soon after the last such call.
+    void check(TimePoint now)
+    {
+        if (!m_isIdle || now < m_checkableAt)
+            return;
+        m_checkableAt = now + m_checkInterval;
+        m_isCheck = true;
+        resume(now);
     }
 
     [[nodiscard]] bool isWatching() const { return m_isWatching; }
@@ -172,21 +196,37 @@
         if (isFailing() && now - m_failingSince >= m_timing.minOutage)
             m_state->deferRemovals(now + m_timing.removalDelay);
         m_backoff = Duration::zero();
+        m_checkInterval = m_timing.minCheckInterval;
         m_retryAt.reset();
     }
 
-    void beginListing()
+    void resume(TimePoint now)
+    {
+        // Whether the platform was away since an earlier failure is not known.
+        if (now - m_failedAt > m_timing.maxCheckInterval + m_timing.callTimeout)
+            m_backoff = Duration::zero();
+        m_isIdle = false;
+        m_watchedRevision = std::max(m_watchedRevision, m_state->revision());
+        m_retryAt = now;
+    }
+
+    void beginListing(TimePoint now)
     {
         m_isComplete = false;
         m_listed.clear();
+        m_calledAt = now;
         m_source->list("", m_timing.callTimeout);
     }
 
-    void beginWatch()
+    void beginWatch(TimePoint now)
     {
-        m_isIdle = !m_isWatching;
-        if (!m_isIdle)
-            m_source->watch(m_watchedRevision, m_timing.watch, m_timing.callTimeout);
+        const bool isCheck = std::exchange(m_isCheck, false);
+        m_isIdle = !m_isWatching && !isCheck;
+        if (m_isIdle)
+            return;
+        m_calledAt = now;
+        m_source->watch(m_watchedRevision, isCheck ? Duration::zero() : m_timing.watch,
+                        m_timing.callTimeout);
     }
 
     Source *m_source;
@@ -198,7 +238,13 @@
     bool m_isComplete = false;
     bool m_isWatching = true;
     bool m_isIdle = false; ///< No call is made, since this host does not watch.
+    bool m_isCheck = false; ///< The next watch asks without waiting for changes.
+    TimePoint m_calledAt; ///< Start of the last call.
+    TimePoint m_listedAt; ///< Start of the listing in progress.
+    TimePoint m_checkableAt;
+    Duration m_checkInterval{};
     TimePoint m_failingSince; ///< First of the consecutive failures.
+    TimePoint m_failedAt; ///< Last of them.
     TimePoint m_startedAt;
     Duration m_backoff{};
     std::optional<TimePoint> m_retryAt;
--- a/currantreel/src/Forward/PublishedState.cpp
+++ b/currantreel/src/Forward/PublishedState.cpp
@@ -9,21 +9,24 @@
                                std::vector<PublishedItem> &applied)
 {
     const auto known = m_items.find(item.key);
-    const auto deferred = m_deferred.find(item.key);
     if (known != m_items.end() && known->second.revision >= item.revision)
         return;
-    if (deferred != m_deferred.end() && deferred->second.item.revision >= item.revision)
+    const auto deferred = m_deferred.find(item.key);
+    if (deferred != m_deferred.end() && deferred->second.item.revision > item.revision)
         return;
-    if (item.isRemoved && now < m_deferUntil && known != m_items.end()
-        && !known->second.isRemoved) {
+    const bool isInUse = known != m_items.end() && !known->second.isRemoved;
+    const TimePoint dueAt = std::max(now + item.deferral, m_deferUntil);
+    if (item.isRemoved && isInUse && now < dueAt) {
         // A listing may repeat a deferred removal with a higher revision.
-        m_deferred.try_emplace(item.key, DeferredRemoval{ item, m_deferUntil }).first->second.item =
-            item;
+        DeferredRemoval &removal =
+            m_deferred.try_emplace(item.key, DeferredRemoval{ item, dueAt }).first->second;
+        removal = DeferredRemoval{ item, std::min(removal.dueAt, dueAt) };
         return;
     }
     if (deferred != m_deferred.end())
         m_deferred.erase(deferred);
     m_items[item.key] = item;
+    m_items[item.key].deferral = Duration::zero();
     applied.push_back(item);
 }
 
@@ -62,6 +65,7 @@
             ++removal;
             continue;
         }
+        removal->second.item.deferral = Duration::zero();
         m_items[removal->first] = removal->second.item;
         applied.push_back(removal->second.item);
         removal = m_deferred.erase(removal);
@@ -69,22 +73,19 @@
     return applied;
 }
 
-std::uint64_t PublishedState::sharedRevision() const
-{
-    std::uint64_t shared = m_revision;
-    for (const auto &[key, removal] : m_deferred)
-        shared = std::min(shared, removal.item.revision - 1);
-    return shared;
-}
-
-std::vector<PublishedItem> PublishedState::changesAfter(std::uint64_t revision) const
+std::vector<PublishedItem> PublishedState::changesAfter(TimePoint now, std::uint64_t revision) const
 {
     std::vector<PublishedItem> changes;
-    const std::uint64_t last = sharedRevision();
     for (const auto &[key, item] : m_items) {
-        if (item.revision > revision && item.revision <= last)
+        if (item.revision > revision)
             changes.push_back(item);
     }
+    for (const auto &[key, removal] : m_deferred) {
+        if (removal.item.revision <= revision)
+            continue;
+        changes.push_back(removal.item);
+        changes.back().deferral = std::max(removal.dueAt - now, Duration::zero());
+    }
     return changes;
 }
 
--- a/currantreel/src/Forward/PublishedState.h
+++ b/currantreel/src/Forward/PublishedState.h
@@ -2,6 +2,7 @@
 #define CURRANTREEL_FORWARD_PUBLISHEDSTATE_H
 
 #include "../Core/Time.h"
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -16,13 +17,17 @@
     std::string value;
     std::uint64_t revision = 0; ///< Revision of the change; increases across all keys.
     bool isRemoved = false;
+    Duration deferral{}; ///< Of a removal: time until it takes effect.
 };
 
+/// Age from which on published state is no longer told apart by its age.
+inline constexpr Duration maxPublishedAge = std::chrono::minutes(1);
+
 /// The values published by the platform, as received from it or from other hosts.
 ///
 /// For each key the highest revision wins, independent of the order of arrival. Entries removed
 /// right after an outage of the platform are kept for a while, since their writers may not have had
-/// time to renew them.
+/// time to renew them. Other hosts are told of such a removal at once, and keep the entry as long.
 class PublishedState
 {
 public:
@@ -46,12 +51,19 @@
     /// Revision up to which all changes were received. Some later ones may be here too.
     [[nodiscard]] std::uint64_t revision() const { return m_revision; }
 
-    /// Highest revision that is sent to other hosts: below that of any deferred removal, which is
-    /// sent only once it takes effect here.
-    [[nodiscard]] std::uint64_t sharedRevision() const;
+    /// All items with a revision above @p revision, including removals, deferred ones too.
+    [[nodiscard]] std::vector<PublishedItem> changesAfter(TimePoint now,
+                                                          std::uint64_t revision) const;
 
-    /// All items with a revision above @p revision and up to sharedRevision(), including removals.
-    [[nodiscard]] std::vector<PublishedItem> changesAfter(std::uint64_t revision) const;
+    /// The state has all changes that the platform had acknowledged at @p time.
+    void confirm(TimePoint time) { m_confirmedAt = std::max(m_confirmedAt, time); }
+    /// Latest time for which the state was confirmed.
+    [[nodiscard]] TimePoint confirmedAt() const { return m_confirmedAt; }
+    /// Time since confirmedAt(), at most maxPublishedAge.
+    [[nodiscard]] Duration age(TimePoint now) const
+    {
+        return std::clamp(now - m_confirmedAt, Duration::zero(), maxPublishedAge);
+    }
 
     [[nodiscard]] std::size_t size() const { return m_items.size(); }
     /// Number of removals that are deferred now.
@@ -71,6 +83,7 @@
     std::map<std::string, DeferredRemoval> m_deferred;
     std::uint64_t m_revision = 0;
     TimePoint m_deferUntil;
+    TimePoint m_confirmedAt;
 };
 
 } // namespace currantreel
--- a/currantreel/src/Peer/Generated/PeerMessage_generated.h
+++ b/currantreel/src/Peer/Generated/PeerMessage_generated.h
@@ -2781,7 +2781,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SENDER = 4,
     VT_REVISION = 6,
-    VT_HOSTS = 8
+    VT_HOSTS = 8,
+    VT_AGE_MS = 10
   };
   const currantreel::wire::FleetHost *sender() const {
     return GetStruct<const currantreel::wire::FleetHost *>(VT_SENDER);
@@ -2792,12 +2793,16 @@
   const flatbuffers::Vector<const currantreel::wire::FleetHost *> *hosts() const {
     return GetPointer<const flatbuffers::Vector<const currantreel::wire::FleetHost *> *>(VT_HOSTS);
   }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<currantreel::wire::FleetHost>(verifier, VT_SENDER, 8) &&
            VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
            VerifyOffset(verifier, VT_HOSTS) &&
            verifier.VerifyVector(hosts()) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -2815,6 +2820,9 @@
   void add_hosts(flatbuffers::Offset<flatbuffers::Vector<const currantreel::wire::FleetHost *>> hosts) {
     fbb_.AddOffset(FleetNews::VT_HOSTS, hosts);
   }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(FleetNews::VT_AGE_MS, age_ms, 0);
+  }
   explicit FleetNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2830,9 +2838,11 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const currantreel::wire::FleetHost *sender = nullptr,
     uint64_t revision = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const currantreel::wire::FleetHost *>> hosts = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const currantreel::wire::FleetHost *>> hosts = 0,
+    uint32_t age_ms = 0) {
   FleetNewsBuilder builder_(_fbb);
   builder_.add_revision(revision);
+  builder_.add_age_ms(age_ms);
   builder_.add_hosts(hosts);
   builder_.add_sender(sender);
   return builder_.Finish();
@@ -2847,13 +2857,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const currantreel::wire::FleetHost *sender = nullptr,
     uint64_t revision = 0,
-    const std::vector<currantreel::wire::FleetHost> *hosts = nullptr) {
+    const std::vector<currantreel::wire::FleetHost> *hosts = nullptr,
+    uint32_t age_ms = 0) {
   auto hosts__ = hosts ? _fbb.CreateVectorOfStructs<currantreel::wire::FleetHost>(*hosts) : 0;
   return currantreel::wire::CreateFleetNews(
       _fbb,
       sender,
       revision,
-      hosts__);
+      hosts__,
+      age_ms);
 }
 
 struct PlacementAsk FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3388,7 +3400,9 @@
     VT_KEY = 4,
     VT_VALUE = 6,
     VT_REVISION = 8,
-    VT_IS_REMOVED = 10
+    VT_IS_REMOVED = 10,
+    VT_DEFERRAL_MS = 12,
+    VT_FULL_BYTES = 14
   };
   const flatbuffers::String *key() const {
     return GetPointer<const flatbuffers::String *>(VT_KEY);
@@ -3402,6 +3416,12 @@
   bool is_removed() const {
     return GetField<uint8_t>(VT_IS_REMOVED, 0) != 0;
   }
+  uint32_t deferral_ms() const {
+    return GetField<uint32_t>(VT_DEFERRAL_MS, 0);
+  }
+  uint32_t full_bytes() const {
+    return GetField<uint32_t>(VT_FULL_BYTES, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_KEY) &&
@@ -3410,6 +3430,8 @@
            verifier.VerifyVector(value()) &&
            VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
            VerifyField<uint8_t>(verifier, VT_IS_REMOVED, 1) &&
+           VerifyField<uint32_t>(verifier, VT_DEFERRAL_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_FULL_BYTES, 4) &&
            verifier.EndTable();
   }
 };
@@ -3430,6 +3452,12 @@
   void add_is_removed(bool is_removed) {
     fbb_.AddElement<uint8_t>(PublishedItem::VT_IS_REMOVED, static_cast<uint8_t>(is_removed), 0);
   }
+  void add_deferral_ms(uint32_t deferral_ms) {
+    fbb_.AddElement<uint32_t>(PublishedItem::VT_DEFERRAL_MS, deferral_ms, 0);
+  }
+  void add_full_bytes(uint32_t full_bytes) {
+    fbb_.AddElement<uint32_t>(PublishedItem::VT_FULL_BYTES, full_bytes, 0);
+  }
   explicit PublishedItemBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3446,9 +3474,13 @@
     flatbuffers::Offset<flatbuffers::String> key = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value = 0,
     uint64_t revision = 0,
-    bool is_removed = false) {
+    bool is_removed = false,
+    uint32_t deferral_ms = 0,
+    uint32_t full_bytes = 0) {
   PublishedItemBuilder builder_(_fbb);
   builder_.add_revision(revision);
+  builder_.add_full_bytes(full_bytes);
+  builder_.add_deferral_ms(deferral_ms);
   builder_.add_value(value);
   builder_.add_key(key);
   builder_.add_is_removed(is_removed);
@@ -3465,7 +3497,9 @@
     const char *key = nullptr,
     const std::vector<uint8_t> *value = nullptr,
     uint64_t revision = 0,
-    bool is_removed = false) {
+    bool is_removed = false,
+    uint32_t deferral_ms = 0,
+    uint32_t full_bytes = 0) {
   auto key__ = key ? _fbb.CreateString(key) : 0;
   auto value__ = value ? _fbb.CreateVector<uint8_t>(*value) : 0;
   return currantreel::wire::CreatePublishedItem(
@@ -3473,7 +3507,9 @@
       key__,
       value__,
       revision,
-      is_removed);
+      is_removed,
+      deferral_ms,
+      full_bytes);
 }
 
 struct PublishedNews FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3482,7 +3518,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ITEMS = 4,
     VT_AFTER = 6,
-    VT_REVISION = 8
+    VT_REVISION = 8,
+    VT_AGE_MS = 10
   };
   const flatbuffers::Vector<flatbuffers::Offset<currantreel::wire::PublishedItem>> *items() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<currantreel::wire::PublishedItem>> *>(VT_ITEMS);
@@ -3493,6 +3530,9 @@
   uint64_t revision() const {
     return GetField<uint64_t>(VT_REVISION, 0);
   }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ITEMS) &&
@@ -3500,6 +3540,7 @@
            verifier.VerifyVectorOfTables(items()) &&
            VerifyField<uint64_t>(verifier, VT_AFTER, 8) &&
            VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -3517,6 +3558,9 @@
   void add_revision(uint64_t revision) {
     fbb_.AddElement<uint64_t>(PublishedNews::VT_REVISION, revision, 0);
   }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(PublishedNews::VT_AGE_MS, age_ms, 0);
+  }
   explicit PublishedNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3532,10 +3576,12 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<currantreel::wire::PublishedItem>>> items = 0,
     uint64_t after = 0,
-    uint64_t revision = 0) {
+    uint64_t revision = 0,
+    uint32_t age_ms = 0) {
   PublishedNewsBuilder builder_(_fbb);
   builder_.add_revision(revision);
   builder_.add_after(after);
+  builder_.add_age_ms(age_ms);
   builder_.add_items(items);
   return builder_.Finish();
 }
@@ -3549,13 +3595,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<flatbuffers::Offset<currantreel::wire::PublishedItem>> *items = nullptr,
     uint64_t after = 0,
-    uint64_t revision = 0) {
+    uint64_t revision = 0,
+    uint32_t age_ms = 0) {
   auto items__ = items ? _fbb.CreateVector<flatbuffers::Offset<currantreel::wire::PublishedItem>>(*items) : 0;
   return currantreel::wire::CreatePublishedNews(
       _fbb,
       items__,
       after,
-      revision);
+      revision,
+      age_ms);
 }
 
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/currantreel/src/Peer/PeerDecoder.cpp
+++ b/currantreel/src/Peer/PeerDecoder.cpp
@@ -20,6 +20,9 @@
 /// Maximum weight of a workspace; the configuration allows no larger one.
 constexpr double maxShare = 1'000'000.0;
 
+/// Maximum time for which a removal is deferred; a correct host asks for less.
+constexpr Duration maxDeferral = std::chrono::seconds(10);
+
 /// Maximum length of a configuration digest, in characters.
 constexpr std::size_t maxDigestLength = 64;
 
@@ -247,6 +250,12 @@
     return GrantMoved{ reader.grantId(table.id()) };
 }
 
+/// Age of published state. Larger ones than those told apart are reported as the largest.
+Duration ageOf(std::uint32_t milliseconds)
+{
+    return std::min<Duration>(std::chrono::milliseconds(milliseconds), maxPublishedAge);
+}
+
 FleetHost fromWire(FieldReader &reader, const wire::FleetHost &host)
 {
     FleetHost result;
@@ -270,6 +279,7 @@
 {
     FleetUpdate update;
     update.revision = table.revision();
+    update.age = ageOf(table.age_ms());
     if (!table.sender() || !isAligned(table.hosts()))
         reader.reject();
     if (!reader.isValid())
@@ -374,6 +384,7 @@
     PublishedUpdate update;
     update.after = table.after();
     update.revision = table.revision();
+    update.age = ageOf(table.age_ms());
     if (!table.items())
         return update;
     for (const wire::PublishedItem *item : *table.items()) {
@@ -387,6 +398,8 @@
             published.value.assign(item->value()->begin(), item->value()->end());
         published.revision = item->revision();
         published.isRemoved = item->is_removed();
+        published.deferral =
+            std::min<Duration>(std::chrono::milliseconds(item->deferral_ms()), maxDeferral);
         update.items.push_back(std::move(published));
     }
     return update;
--- a/currantreel/src/Peer/PeerEncoder.cpp
+++ b/currantreel/src/Peer/PeerEncoder.cpp
@@ -7,6 +7,7 @@
 #include <arpa/inet.h>
 #include <array>
 #include <cstring>
+#include <limits>
 
 namespace currantreel::detail {
 
@@ -161,6 +162,13 @@
     return bodyOf(wire::CreateGrantMoved(builder, &id));
 }
 
+/// Durations below zero, or above what the field holds, are encoded as the nearest that it holds.
+std::uint32_t toWireMilliseconds(Duration time)
+{
+    constexpr std::int64_t highest = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(toMilliseconds(time), 0, highest));
+}
+
 wire::FleetHost toWire(const FleetHost &host)
 {
     in_addr ip{};
@@ -181,7 +189,8 @@
     for (const FleetHost &host : message.hosts)
         hosts.push_back(toWire(host));
     const auto hostVector = builder.CreateVectorOfStructs(hosts);
-    return bodyOf(wire::CreateFleetNews(builder, &sender, message.revision, hostVector));
+    return bodyOf(wire::CreateFleetNews(builder, &sender, message.revision, hostVector,
+                                        toWireMilliseconds(message.age)));
 }
 
 std::uint8_t toWireRank(std::uint32_t rank)
@@ -254,11 +263,11 @@
     for (const PublishedItem &item : message.items) {
         const auto key = builder.CreateString(item.key);
         const auto value = toWire(builder, item.value);
-        items.push_back(
-            wire::CreatePublishedItem(builder, key, value, item.revision, item.isRemoved));
+        items.push_back(wire::CreatePublishedItem(
+            builder, key, value, item.revision, item.isRemoved, toWireMilliseconds(item.deferral)));
     }
     return bodyOf(wire::CreatePublishedNews(builder, builder.CreateVector(items), message.after,
-                                            message.revision));
+                                            message.revision, toWireMilliseconds(message.age)));
 }
 
 template <typename Message>
--- a/currantreel/src/Shell/ForwardDaemonUpdates.cpp
+++ b/currantreel/src/Shell/ForwardDaemonUpdates.cpp
@@ -95,19 +95,19 @@
 
 void ForwardDaemon::receive(HostId from, const FleetUpdate &update)
 {
-    m_fleet.receive(steadyNow(), from, update);
+    m_fleet.receive(steadyNow(), from, update, m_published);
 }
 
 void ForwardDaemon::receive(HostId from, const PublishedRequest &request)
 {
-    m_fleet.receive(from, request, m_published);
+    m_fleet.receive(steadyNow(), from, request, m_published);
     sendFleet(steadyNow());
 }
 
 void ForwardDaemon::receive(HostId from, const PublishedUpdate &update)
 {
     apply(steadyNow(), toText(m_fleet.addressOf(from)),
-          m_fleet.receive(steadyNow(), update, m_published));
+          m_fleet.receive(steadyNow(), from, update, m_published));
     sendFleet(steadyNow());
 }
 
