A request for published items is always answered, with the revision that the sender has

Cause: after a listing a host's revision is that of the store, although no item may carry it. Hosts with a lower one requested what was after theirs, got no answer because there was nothing, and sent no other request for 800 ms, again and again. Change: the answer is sent also without items, and the requester takes its revision over. Test: three hosts next to one that listed at a later revision, then a change; failed before (no host at that revision after 1 s, one unanswered request on each, the change not there after 300 ms).

--- a/currantreel/src/Fleet/FleetSystem.cpp
+++ b/currantreel/src/Fleet/FleetSystem.cpp
@@ -178,17 +178,20 @@
                           const PublishedState &state)
 {
     const Address address = addressOf(from);
-    PublishedUpdate update = makePublishedUpdate(now, state, request.revision);
-    if (!update.items.empty() && !address.ip.empty())
-        m_outgoing.push_back(OutgoingFleetMessage{ from, address, std::move(update) });
+    if (!address.ip.empty())
+        m_outgoing.push_back(OutgoingFleetMessage{
+            from, address, makePublishedUpdate(now, state, request.revision) });
 }
 
-std::vector<PublishedItem> FleetSystem::receive(TimePoint now, HostId /*from*/,
+std::vector<PublishedItem> FleetSystem::receive(TimePoint now, HostId from,
                                                 const PublishedUpdate &update,
                                                 PublishedState &state)
 {
     m_requestPendingUntil = TimePoint();
     m_requestedFrom = {};
+    const auto sender = m_hosts.find(from);
+    if (sender != m_hosts.end() && update.items.empty())
+        sender->second.revision = update.revision;
     const bool isGapless = update.after <= state.revision();
     std::vector<PublishedItem> applied =
         state.apply(now, update.items, isGapless ? update.revision : 0);
--- a/test/FleetSystemTest.cpp
+++ b/test/FleetSystemTest.cpp
@@ -113,6 +113,27 @@
         CHECK(state.changesAfter(hosts.now, 0).size() == 2);
 }
 
+TEST_CASE(
+    "a host that requests changes of one with a later revision but no later change is answered, "
+    "and takes over that revision")
+{
+    Hosts hosts(4);
+    for (PublishedState &state : hosts.states)
+        state.apply(hosts.now, { PublishedItem{ "a", "x", 5, false } }, 5);
+    hosts.advance(3s);
+    hosts.states[0].replace(hosts.now, "", { PublishedItem{ "a", "x", 5, false } }, 9);
+    hosts.advance(1s);
+    for (const PublishedState &state : hosts.states)
+        CHECK(state.revision() == 9);
+    for (const auto &system : hosts.systems)
+        CHECK(system->counters().itemRequestsUnanswered == 0);
+    // A change right after it is not held up.
+    hosts.states[0].apply(hosts.now, { PublishedItem{ "a", "y", 10, false } }, 10);
+    hosts.advance(300ms);
+    for (const PublishedState &state : hosts.states)
+        CHECK(state.revision() == 10);
+}
+
 TEST_CASE("a host that the platform does not answer gets the published items from other hosts")
 {
     Hosts hosts(4);
