A change is announced to the next hosts in the order of identifiers, and to others at random

Change: two of the four are the next present hosts in the order of identifiers. A host is then missed only if both hosts before it are.

--- a/currantreel/src/Fleet/FleetSystem.cpp
+++ b/currantreel/src/Fleet/FleetSystem.cpp
@@ -17,7 +17,9 @@
 constexpr double hostBytes = 24.0;
 /// Recipients of one regular update, drawn anew each time.
 constexpr std::size_t updateRecipients = 2;
-/// Hosts to which a change is announced at once.
+/// Hosts to which a change is announced at once: the next ones in the order of the identifiers, so
+/// that no host is missed while its predecessors know the change, and others drawn anew.
+constexpr std::size_t changeSuccessors = 2;
 constexpr std::size_t changeRecipients = 4;
 /// Other hosts that an update lists.
 constexpr std::size_t hostsPerUpdate = 16;
@@ -273,6 +275,21 @@
         OutgoingFleetMessage{ to, m_hosts[to].description.peerAddress, std::move(message) });
 }
 
+std::vector<HostId> FleetSystem::successors(TimePoint now) const
+{
+    std::vector<HostId> hosts;
+    const auto self = m_hosts.upper_bound(m_id);
+    const auto add = [&](auto begin, auto end) {
+        for (auto entry = begin; entry != end && hosts.size() < changeSuccessors; ++entry) {
+            if (isPresent(entry->second, now))
+                hosts.push_back(entry->first);
+        }
+    };
+    add(self, m_hosts.end());
+    add(m_hosts.begin(), self);
+    return hosts;
+}
+
 void FleetSystem::announceChange(TimePoint now, const PublishedState &state)
 {
     const bool isNew = state.revision() > m_announcedRevision;
@@ -281,8 +298,13 @@
     m_announcedRevision = state.revision();
     m_changeAnnouncedAt = now;
     ++m_heartbeat;
-    std::vector<HostId> recipients = shuffledPresentHosts(now);
-    recipients.resize(std::min(recipients.size(), changeRecipients));
+    std::vector<HostId> recipients = successors(now);
+    for (const HostId id : shuffledPresentHosts(now)) {
+        if (recipients.size() >= changeRecipients)
+            break;
+        if (std::find(recipients.begin(), recipients.end(), id) == recipients.end())
+            recipients.push_back(id);
+    }
     for (const HostId id : recipients)
         send(id, makeUpdate(now, state));
 }
