A stream that was resumed is broken off if its next server answers with anything but its events

Operators' report: a stream had begun and broke off, the next server answered with an error, and the stream ended as if it were complete. It could happen here: an answer of status 400, 404, 409, 413, 304 or a 200 without events counted as the end of the request, so the reply to the caller was ended in good order. No text of the error was passed on; statuses of 500 and above, 429 and 503 were handled. Change: once the caller has events, only an event stream with a success status goes on with it; anything else is a failed attempt, which is repeated within the limits or breaks the reply off.

--- a/currantreel/src/Forward/ForwardAttempts.cpp
+++ b/currantreel/src/Forward/ForwardAttempts.cpp
@@ -30,6 +30,12 @@
     return answer.status >= firstFailureStatus || impliesNotRun(answer.status) || isNotRun(answer);
 }
 
+/// True if @p answer can continue a stream of which the caller has events already.
+bool continuesStream(const AnswerStatus &answer)
+{
+    return answer.isEventStream && isSuccess(answer.status);
+}
+
 } // namespace
 
 ForwardSystem::Call *ForwardSystem::callOf(AttemptId attempt)
@@ -166,7 +172,8 @@
     if (!call)
         return;
     recordOutcome(now, *call, answer);
-    if (!isFailure(answer)) {
+    const bool canRelay = !isFailure(answer) && (!call->hasBegun || continuesStream(answer));
+    if (canRelay) {
         relay(now, *call, answer);
         return;
     }
--- a/currantreel/src/Forward/ForwardMessages.h
+++ b/currantreel/src/Forward/ForwardMessages.h
@@ -32,6 +32,7 @@
 {
     int status = 0;
     bool reportsNotRun = false; ///< The server states that it did not execute the request.
+    bool isEventStream = false;
 };
 
 /// Why an attempt ended without a complete answer.
--- a/currantreel/src/Shell/ForwardExchanges.h
+++ b/currantreel/src/Shell/ForwardExchanges.h
@@ -38,7 +38,10 @@
     bool isEnded = false; ///< Its end was reported to the forward system, or it was cancelled.
     std::unique_ptr<OutgoingExchange> outgoing;
 
-    [[nodiscard]] AnswerStatus status() const { return { head.status, metadata.reportsNotRun }; }
+    [[nodiscard]] AnswerStatus status() const
+    {
+        return { head.status, metadata.reportsNotRun, isEventStream };
+    }
 };
 
 } // namespace currantreel
--- a/test/ForwardFixture.h
+++ b/test/ForwardFixture.h
@@ -4,6 +4,7 @@
 #include <currantreel/Forward>
 #include <doctest/doctest.h>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -158,7 +159,8 @@
 
     void answer(AttemptId attempt, int status, bool reportsNotRun = false)
     {
-        system.onAnswer(now, attempt, AnswerStatus{ status, reportsNotRun });
+        const bool isEventStream = m_streams.contains(attempt);
+        system.onAnswer(now, attempt, AnswerStatus{ status, reportsNotRun, isEventStream });
         collectEffects();
     }
 
@@ -170,7 +172,8 @@
 
     void events(AttemptId attempt)
     {
-        system.onEvents(now, attempt, AnswerStatus{ 200, false });
+        m_streams.insert(attempt);
+        system.onEvents(now, attempt, AnswerStatus{ 200, false, true });
         collectEffects();
     }
 
@@ -179,6 +182,7 @@
     std::vector<ForwardEffect> effects;
 
 private:
+    std::set<AttemptId> m_streams; ///< Attempts answered with events.
     std::uint64_t m_requests = 0;
     int m_servers = 0;
 };
--- a/test/ForwardTest.cpp
+++ b/test/ForwardTest.cpp
@@ -364,3 +364,27 @@
     }
     CHECK(sentFar > 0);
 }
+
+TEST_CASE("a resumed stream whose next server answers with no events of it is broken off, neither "
+          "continued with that answer nor ended as complete")
+{
+    for (const int status : { 200, 204, 304, 400, 404, 409, 413, 429, 500, 503 }) {
+        ForwardFixture fixture;
+        fixture.addServer("engine-1", "engines");
+        fixture.addServer("engine-2", "engines");
+        fixture.call("/gate/", "key", promptOf(1, 100, 20, 2));
+        const auto first = fixture.last<StartForward>();
+        fixture.system.onWritten(first.attempt);
+        fixture.events(first.attempt);
+        fixture.fail(first.attempt, AttemptFailure::Broken);
+        const auto second = fixture.last<StartForward>();
+        REQUIRE(second.attempt != first.attempt);
+        fixture.system.onWritten(second.attempt);
+        fixture.answer(second.attempt, status);
+        fixture.advance(20s);
+        CHECK(fixture.all<FinishForward>().empty());
+        CHECK(fixture.all<RefuseForward>().empty());
+        CHECK(fixture.all<RelayForward>().size() == 1);
+        CHECK(fixture.all<AbortForward>().size() == 1);
+    }
+}
