A request is sent to the same server again only over a new connection

Operators' report: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for what was running. An answer with another identifier or none is refused already. But the answer to a request's own first attempt has the right identifier: refused by the only server, the request was sent there again over the same kept connection, and a second copy of the refusal counted as the answer to the second attempt, which was running. Requests that may run once only always had connections of their own; this concerns requests that may be repeated. Change: an attempt at a server that was tried before gets a new connection. The flag is named after what it allows. Test: ForwardTest; failed before (the connection could be reused).

--- a/currantreel/src/Forward/ForwardMessages.h
+++ b/currantreel/src/Forward/ForwardMessages.h
@@ -53,7 +53,7 @@
     Duration timeLeft{};
     std::uint8_t priority = 0; ///< Priority in the engine's queue; 0 is the highest.
     bool hasPriority = false;
-    bool isRepeatable = false; ///< The request may be sent over a reused connection.
+    bool mayReuseConnection = false; ///< The request may be sent over a reused connection.
 };
 
 /// Cancels an attempt and closes its connection.
--- a/currantreel/src/Forward/ForwardSystem.cpp
+++ b/currantreel/src/Forward/ForwardSystem.cpp
@@ -234,6 +234,8 @@
     call.sentAt = now;
     call.progressAt = now;
     call.isWritten = false;
+    const bool wasTried =
+        std::find(call.tried.begin(), call.tried.end(), server.id) != call.tried.end();
     call.tried.push_back(server.id);
     server.cache.addPrompt(call.prompt);
     server.own.start(call.rank, call.uncached, call.prompt.reservedTokens());
@@ -248,7 +250,11 @@
     start.timeLeft = call.endAt - now;
     start.priority = static_cast<std::uint8_t>(std::min(call.rank, lowestEnginePriority));
     start.hasPriority = server.memoryTokens > 0;
-    start.isRepeatable = call.route->repeat == RepeatRule::Idempotent || call.route->isResumable;
+    // The server may just be closing an idle connection, so requests that may not be repeated use a
+    // new one. So do those that this server was sent before: it may write its earlier answer again.
+    const bool isRepeatable =
+        call.route->repeat == RepeatRule::Idempotent || call.route->isResumable;
+    start.mayReuseConnection = isRepeatable && !wasTried;
     m_effects.emplace_back(std::move(start));
 }
 
--- a/currantreel/src/Shell/ForwardHttpServer.cpp
+++ b/currantreel/src/Shell/ForwardHttpServer.cpp
@@ -273,9 +273,7 @@
     platform::addAttemptHeaders(outgoing.headers, effect, exchange->lastEventId);
     outgoing.body = exchange->body.get();
     outgoing.usesKeepAlive = true;
-    // The server may just be closing an idle connection, so requests that may not be repeated use a
-    // new one.
-    if (effect.isRepeatable)
+    if (effect.mayReuseConnection)
         outgoing.connection = m_pool.acquire(effect.address, steadyNow());
     attempt->isOnReusedConnection = outgoing.connection != nullptr;
     OutgoingCallbacks callbacks;
--- a/test/ForwardTest.cpp
+++ b/test/ForwardTest.cpp
@@ -12,7 +12,7 @@
     const auto sent = fixture.last<StartForward>();
     CHECK(sent.instance == "ledger-1");
     CHECK(sent.workspace == "mill");
-    CHECK_FALSE(sent.isRepeatable);
+    CHECK_FALSE(sent.mayReuseConnection);
     CHECK(sent.timeLeft == 800ms);
     fixture.system.onWritten(sent.attempt);
     fixture.answer(sent.attempt, 200);
@@ -388,3 +388,21 @@
         CHECK(fixture.all<AbortForward>().size() == 1);
     }
 }
+
+TEST_CASE(
+    "a request is sent to a server again only over a new connection, on which no earlier answer "
+    "can arrive")
+{
+    ForwardFixture fixture;
+    fixture.addServer("ledger-1", "ledger");
+    fixture.call("/look/ticket");
+    const auto first = fixture.last<StartForward>();
+    CHECK(first.mayReuseConnection);
+    fixture.system.onWritten(first.attempt);
+    fixture.answer(first.attempt, 503, true);
+    fixture.advance(100ms);
+    const auto second = fixture.last<StartForward>();
+    REQUIRE(second.attempt != first.attempt);
+    CHECK(second.address == first.address);
+    CHECK_FALSE(second.mayReuseConnection);
+}
