--- a/currantreel/src/Forward/PublishedReader.h
+++ b/currantreel/src/Forward/PublishedReader.h
@@ -18,6 +18,7 @@
     std::vector<PublishedItem> items;
     std::uint64_t revision = 0; ///< Revision of the store at the time of the answer.
     bool hasMore = false;
+    std::string lastKey; ///< After which the next page begins, also if that item was unreadable.
 };
 
 /// Changes after the requested revision.
@@ -93,14 +94,15 @@
     std::vector<PublishedItem> onPage(TimePoint now, const PublishedPage &page)
     {
         onAnswered(now);
-        if (m_listed.empty()) {
+        if (!m_isListing) {
+            m_isListing = true;
             m_listRevision = page.revision;
             m_listedAt = m_calledAt;
         }
         m_listed.insert(m_listed.end(), page.items.begin(), page.items.end());
-        if (page.hasMore && !page.items.empty()) {
+        if (page.hasMore && !page.lastKey.empty()) {
             m_calledAt = now;
-            m_source->list(page.items.back().key, m_timing.callTimeout);
+            m_source->list(page.lastKey, m_timing.callTimeout);
             return {};
         }
         std::vector<PublishedItem> changed =
@@ -216,6 +218,7 @@
     void beginListing(TimePoint now)
     {
         m_isComplete = false;
+        m_isListing = false;
         m_listed.clear();
         m_calledAt = now;
         m_source->list("", m_timing.callTimeout);
@@ -238,6 +241,7 @@
     std::vector<PublishedItem> m_listed; ///< Items of the pages received so far.
     std::uint64_t m_listRevision = 0;
     std::uint64_t m_watchedRevision = 0;
+    bool m_isListing = false; ///< The first page of a listing has arrived.
     bool m_isComplete = false;
     bool m_isWatching = true;
     bool m_isIdle = false; ///< No call is made, since this host does not watch.
