A caller who leaves before the reply no longer costs memory for the life of the host

Cause: when a connection ends before its request was answered, evhttp takes the request off the connection and leaves it to its user, who was told by the close callback and only dropped the pointer. The same in the model interface's server, which is mended with it. Test: process_forward; failed before.

--- a/currantreel/src/Shell/CallerHttpServer.cpp
+++ b/currantreel/src/Shell/CallerHttpServer.cpp
@@ -159,7 +159,7 @@
 void CallerHttpServer::onConnectionClosed(evhttp_connection * /*connection*/, void *exchange)
 {
     auto *closed = static_cast<Exchange *>(exchange);
-    closed->request = nullptr;
+    freeUnanswered(std::exchange(closed->request, nullptr));
     if (Attempt *attempt = closed->server->find(closed->relayedAttempt);
         attempt && closed->isPaused)
         attempt->outgoing->setReading(true);
--- a/currantreel/src/Shell/ForwardHttpServer.cpp
+++ b/currantreel/src/Shell/ForwardHttpServer.cpp
@@ -216,7 +216,7 @@
 {
     auto *closed = static_cast<Exchange *>(exchange);
     ForwardHttpServer *server = closed->server;
-    closed->request = nullptr;
+    freeUnanswered(std::exchange(closed->request, nullptr));
     server->m_system->onCallerDisconnected(steadyNow(), closed->id);
     server->close(closed->id);
     server->m_applyEffects();
--- a/currantreel/src/Shell/HttpReply.cpp
+++ b/currantreel/src/Shell/HttpReply.cpp
@@ -71,6 +71,13 @@
     return { reinterpret_cast<const char *>(bytes), length };
 }
 
+void freeUnanswered(evhttp_request *request)
+{
+    // evhttp frees the request itself as long as it belongs to the connection.
+    if (request && !evhttp_request_get_connection(request))
+        evhttp_request_free(request);
+}
+
 std::string headerOf(evhttp_request *request, const char *name)
 {
     const char *value = evhttp_find_header(evhttp_request_get_input_headers(request), name);
--- a/test/process/test_forward.py
+++ b/test/process/test_forward.py
@@ -332,6 +332,28 @@
         connection.close()
         wait_until(lambda: self.site.seen(headers["X-Request-Id"])[0]["ended"] == "cancelled", "the work is cancelled")
 
+    def test_callers_who_leave_take_no_memory(self):
+        process = self.site.processes["host-1"]
+
+        def memory():
+            with open("/proc/%d/status" % process.pid, encoding="ascii") as status:
+                return next(int(line.split()[1]) for line in status if line.startswith("VmRSS:"))
+
+        def leave(count):
+            for _ in range(count):
+                connection = open_socket(self.callers)
+                headers = self.site.headers(X_Test="silent", X_Pad="y" * 4000)
+                lines = "".join("%s: %s\r\n" % item for item in headers.items())
+                connection.sendall(("POST /pay/x HTTP/1.1\r\n%sContent-Length: 0\r\n\r\n" % lines).encode())
+                time.sleep(0.01)  # most requests are read by then
+                connection.close()
+
+        leave(100)
+        before = memory()
+        leave(400)
+        # In KiB, half of the size of the headers.
+        self.assertLess(memory() - before, 400 * 4 / 2)
+
     def test_heads_that_hide_a_second_request_are_refused(self):
         inner = "POST /pay/inner HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: smuggled\r\n" \
                 "Authorization: Bearer the-key\r\nContent-Length: 0\r\n\r\n"
