--- a/currantreel/src/Fleet/FleetSystem.h
+++ b/currantreel/src/Fleet/FleetSystem.h
@@ -129,6 +129,8 @@
     [[nodiscard]] FleetUpdate makeUpdate(TimePoint now, const PublishedState &state) const;
     void addHosts(TimePoint now, FleetUpdate &update);
     void send(HostId to, FleetUpdate message);
+    /// Takes over that the state at @p revision was up to date @p age ago, if @p state includes it.
+    static void confirm(TimePoint now, std::uint64_t revision, Duration age, PublishedState &state);
     void announceChange(TimePoint now, const PublishedState &state);
     void requestItems(TimePoint now, const PublishedState &state);
     [[nodiscard]] std::vector<HostId> hostsAhead(TimePoint now, const PublishedState &state);
