Logs tell what a failed attempt had in its prompt and how far its answer was

The line attempt_failed has the shared segments of the prompt, the time since the request was sent and since the attempt's first event. No change of logic.

--- a/currantreel/src/Forward/ForwardAttempts.cpp
+++ b/currantreel/src/Forward/ForwardAttempts.cpp
@@ -98,6 +98,8 @@
     else
         call->firstEvent = now - call->arrivedAt;
     call->eventAt = now;
+    if (!call->attemptEventAt)
+        call->attemptEventAt = now;
     call->progressAt = now;
     call->mayHaveRun = true;
     if (call->state == State::Relayed)
@@ -214,6 +216,7 @@
     Call *call = callOf(attempt);
     if (!call)
         return;
+    addFailureRecord(now, *call, failure);
     const bool wasWritten = failure != AttemptFailure::NotConnected;
     call->progress = wasWritten ? PlacementProgress::Failed : PlacementProgress::Unreachable;
     if (ForwardServer *server = m_directory.find(call->server)) {
--- a/currantreel/src/Forward/ForwardMessages.h
+++ b/currantreel/src/Forward/ForwardMessages.h
@@ -8,6 +8,7 @@
 #include "../Settings/Address.h"
 #include "PlacementMessages.h"
 #include "Prompt.h"
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -133,9 +134,21 @@
     Duration maxPause{}; ///< Longest time between arrivals of a stream's events.
 };
 
+/// Log record of an attempt that ended without a complete answer.
+struct FailureRecord
+{
+    std::string callerId;
+    std::string route;
+    std::string instance;
+    AttemptFailure failure = AttemptFailure::Broken;
+    std::vector<std::uint64_t> sharedSegments; ///< Of the prompt, in their order.
+    Duration sent{}; ///< Time since the request was sent.
+    std::optional<Duration> answered; ///< Time since the attempt's first event; none if none came.
+};
+
 using ForwardEffect =
     std::variant<StartForward, CancelForward, RelayForward, FinishForward, RefuseForward,
-                 AbortForward, SendToOwner, ExcludeOwner, DecisionRecord>;
+                 AbortForward, SendToOwner, ExcludeOwner, DecisionRecord, FailureRecord>;
 
 } // namespace currantreel
 
--- a/currantreel/src/Forward/ForwardSystem.cpp
+++ b/currantreel/src/Forward/ForwardSystem.cpp
@@ -234,6 +234,7 @@
     call.sentAt = now;
     call.progressAt = now;
     call.isWritten = false;
+    call.attemptEventAt.reset();
     const bool wasTried =
         std::find(call.tried.begin(), call.tried.end(), server.id) != call.tried.end();
     call.tried.push_back(server.id);
@@ -306,4 +307,20 @@
     m_effects.emplace_back(std::move(record));
 }
 
+void ForwardSystem::addFailureRecord(TimePoint now, const Call &call, AttemptFailure failure)
+{
+    FailureRecord record;
+    record.callerId = call.callerId;
+    record.route = call.route->name;
+    if (const ForwardServer *server = m_directory.find(call.server))
+        record.instance = server->announced.instance;
+    record.failure = failure;
+    for (const PromptSegment &segment : call.prompt.sharedSegments())
+        record.sharedSegments.push_back(segment.id);
+    record.sent = now - call.sentAt;
+    if (call.attemptEventAt)
+        record.answered = now - *call.attemptEventAt;
+    m_effects.emplace_back(std::move(record));
+}
+
 } // namespace currantreel
--- a/currantreel/src/Forward/ForwardSystem.h
+++ b/currantreel/src/Forward/ForwardSystem.h
@@ -117,6 +117,7 @@
         BackendServerId server;
         TimePoint sentAt;
         TimePoint eventAt; ///< Last arrival of events.
+        std::optional<TimePoint> attemptEventAt; ///< First arrival of events of this attempt.
         TimePoint progressAt; ///< Last activity of the current attempt.
         Duration firstEvent{}; ///< From arrival to the first event; zero if none arrived.
         Duration maxPause{}; ///< Longest time between two arrivals of events.
@@ -179,6 +180,7 @@
     [[nodiscard]] bool isUnresponsive(TimePoint now, const Call &call) const;
     [[nodiscard]] DecisionRecord recordOf(TimePoint now, const Call &call, DecisionKind kind) const;
     void addRecord(DecisionRecord record);
+    void addFailureRecord(TimePoint now, const Call &call, AttemptFailure failure);
 
     /// Partition of a service's servers.
     using Partition = std::pair<ServiceId, std::size_t>;
--- a/currantreel/src/Forward/Prompt.h
+++ b/currantreel/src/Forward/Prompt.h
@@ -2,6 +2,7 @@
 #define CURRANTREEL_FORWARD_PROMPT_H
 
 #include <cstdint>
+#include <span>
 #include <vector>
 
 namespace currantreel {
@@ -24,6 +25,12 @@
     /// Tokens reserved in an engine's memory until the request ends.
     [[nodiscard]] std::uint32_t reservedTokens() const { return tokens + maxAnswerTokens; }
 
+    /// Segments that other requests may share: all but the last one.
+    [[nodiscard]] std::span<const PromptSegment> sharedSegments() const
+    {
+        return std::span(segments).first(segments.empty() ? 0 : segments.size() - 1);
+    }
+
     /// Identifier of the shared prefix, such as a document or session: that of the last segment
     /// that other requests share, or of the only segment; 0 if there are no segments.
     [[nodiscard]] std::uint64_t sharedPrefix() const
--- a/currantreel/src/Shell/DecisionLog.cpp
+++ b/currantreel/src/Shell/DecisionLog.cpp
@@ -1,6 +1,7 @@
 #include "DecisionLog.h"
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 namespace currantreel {
 
@@ -27,6 +28,19 @@
     return "request_ended";
 }
 
+std::string_view nameOf(AttemptFailure failure)
+{
+    switch (failure) {
+    case AttemptFailure::NotConnected:
+        return "not_connected";
+    case AttemptFailure::Broken:
+        return "broken";
+    case AttemptFailure::WrongAnswer:
+        return "wrong_answer";
+    }
+    return "broken";
+}
+
 } // namespace
 
 std::string hexOf(HostId host)
@@ -81,4 +95,17 @@
     }
 }
 
+void writeFailure(const Log &log, const FailureRecord &record)
+{
+    const auto milliseconds = [](Duration time) { return std::to_string(toMilliseconds(time)); };
+    log.write("attempt_failed",
+              { { "request", record.callerId },
+                { "route", record.route },
+                { "server", record.instance },
+                { "failure", std::string(nameOf(record.failure)) },
+                { "shared_segments", fmt::format("{:x}", fmt::join(record.sharedSegments, ",")) },
+                { "sent_ms", milliseconds(record.sent) },
+                { "answered_ms", record.answered ? milliseconds(*record.answered) : "none" } });
+}
+
 } // namespace currantreel
--- a/currantreel/src/Shell/DecisionLog.h
+++ b/currantreel/src/Shell/DecisionLog.h
@@ -13,6 +13,9 @@
 /// Logs a decision on a request.
 void writeDecision(const Log &log, const DecisionRecord &decision);
 
+/// Logs an attempt that ended without a complete answer.
+void writeFailure(const Log &log, const FailureRecord &record);
+
 } // namespace currantreel
 
 #endif
--- a/currantreel/src/Shell/ForwardDaemon.cpp
+++ b/currantreel/src/Shell/ForwardDaemon.cpp
@@ -313,4 +313,9 @@
     writeDecision(m_log, decision);
 }
 
+void ForwardDaemon::handle(const FailureRecord &record)
+{
+    writeFailure(m_log, record);
+}
+
 } // namespace currantreel
--- a/currantreel/src/Shell/ForwardDaemon.h
+++ b/currantreel/src/Shell/ForwardDaemon.h
@@ -71,6 +71,7 @@
     void onStoreFailed(ReadFailure failure, const std::string &detail);
     void setStoreReachable(bool isReachable, const std::string &detail);
     void handle(const DecisionRecord &decision);
+    void handle(const FailureRecord &record);
     void handle(const SendToOwner &effect);
     void handle(const ExcludeOwner &effect);
     template <typename T>
