--- a/currantreel/src/Core/ResultCode.h
+++ b/currantreel/src/Core/ResultCode.h
@@ -60,6 +60,7 @@
     AnswerLate = 4009,
     RequestTimedOut = 4010,
     BackendServersBusy = 4011,
+    RequestQuarantined = 4012,
 
     KeyMalformed = 5001,
     KeyRequired = 5002,
@@ -181,6 +182,8 @@
                     "the time limit of the caller or of the route is over" },
     ResultCodeInfo{ ResultCode::BackendServersBusy, "backend_servers_busy", 503,
                     "retry after the time given: the backend server did not run the request" },
+    ResultCodeInfo{ ResultCode::RequestQuarantined, "request_quarantined", 503,
+                    "do not repeat it soon: backend servers ended under a segment of its prompt" },
     ResultCodeInfo{ ResultCode::KeyMalformed, "key_malformed", 400,
                     "get a key by POST /v1/idempotency-keys" },
     ResultCodeInfo{ ResultCode::KeyRequired, "key_required", 428,
--- a/currantreel/src/Fleet/FleetMessages.h
+++ b/currantreel/src/Fleet/FleetMessages.h
@@ -30,6 +30,7 @@
     std::uint64_t revision = 0; ///< Up to which the sender has the published state.
     Duration age = maxPublishedAge; ///< Of the sender's published state.
     std::vector<FleetHost> hosts; ///< Some of the other hosts that are present.
+    std::uint64_t quarantineDigest = 0; ///< Of the prompt segments that the sender quarantines.
 };
 
 /// Requests the published items above a revision.
--- a/currantreel/src/Fleet/FleetPublishedState.cpp
+++ b/currantreel/src/Fleet/FleetPublishedState.cpp
@@ -12,7 +12,7 @@
 using namespace std::chrono_literals;
 
 /// Hosts to which a change is announced at once.
-constexpr std::size_t changeRecipients = 4;
+constexpr std::size_t changeRecipientCount = 4;
 /// Of these, the next ones in the order of the identifiers; the others are random. So a host is
 /// missed only if its predecessors in that order are.
 constexpr std::size_t changeSuccessors = 2;
@@ -127,17 +127,29 @@
     m_announcedConfirmation = state.confirmedAt();
     m_changeAnnouncedAt = now;
     ++m_heartbeat;
-    std::vector<HostId> recipients =
-        successors(now, isNew ? changeSuccessors : confirmationSuccessors);
-    const std::size_t count = isNew ? changeRecipients : confirmationRecipients;
+    const std::vector<HostId> recipients =
+        isNew ? changeRecipients(now)
+              : selectHosts(now, confirmationRecipients, confirmationSuccessors);
+    for (const HostId id : recipients)
+        send(id, makeUpdate(now, state));
+}
+
+std::vector<HostId> FleetSystem::selectHosts(TimePoint now, std::size_t count,
+                                             std::size_t successorCount) const
+{
+    std::vector<HostId> hosts = successors(now, successorCount);
     for (const HostId id : shuffledPresentHosts(now)) {
-        if (recipients.size() >= count)
+        if (hosts.size() >= count)
             break;
-        if (std::find(recipients.begin(), recipients.end(), id) == recipients.end())
-            recipients.push_back(id);
+        if (std::find(hosts.begin(), hosts.end(), id) == hosts.end())
+            hosts.push_back(id);
     }
-    for (const HostId id : recipients)
-        send(id, makeUpdate(now, state));
+    return hosts;
+}
+
+std::vector<HostId> FleetSystem::changeRecipients(TimePoint now) const
+{
+    return selectHosts(now, changeRecipientCount, changeSuccessors);
 }
 
 std::vector<HostId> FleetSystem::hostsAhead(TimePoint now, const PublishedState &state)
--- a/currantreel/src/Fleet/FleetSystem.cpp
+++ b/currantreel/src/Fleet/FleetSystem.cpp
@@ -173,6 +173,7 @@
     update.sender.heartbeat = m_heartbeat;
     update.revision = state.revision();
     update.age = state.age(now);
+    update.quarantineDigest = m_quarantineDigest;
     return update;
 }
 
--- a/currantreel/src/Fleet/FleetSystem.h
+++ b/currantreel/src/Fleet/FleetSystem.h
@@ -51,6 +51,9 @@
     /// Sets the time within which published changes have to be in force on all hosts.
     void setChangeBound(Duration bound) { m_changeBound = bound; }
 
+    /// Sets what updates tell of the prompt segments that this host quarantines.
+    void setQuarantineDigest(std::uint64_t digest) { m_quarantineDigest = digest; }
+
     /// Takes over what another host reports. Ignored unless it names @p from as its sender.
     void receive(TimePoint now, HostId from, const FleetUpdate &update, PublishedState &state);
     /// Queues an answer with the items of @p state above the requested revision.
@@ -81,6 +84,10 @@
     /// @return false if it is unknown or excluded already.
     bool exclude(TimePoint now, HostId host);
 
+    /// Hosts to which a change is announced at once, drawn anew each time but for the next ones in
+    /// the order of the identifiers.
+    [[nodiscard]] std::vector<HostId> changeRecipients(TimePoint now) const;
+
     /// Address at which @p host accepts peers; empty if the host is unknown.
     [[nodiscard]] Address addressOf(HostId host) const;
 
@@ -124,6 +131,10 @@
     void recordHeartbeat(TimePoint now, Host &host, const FleetHost &description);
     [[nodiscard]] std::vector<HostId> shuffledPresentHosts(TimePoint now) const;
     [[nodiscard]] std::vector<HostId> selectRecipients(TimePoint now);
+    /// Up to @p count present hosts: the next ones in the order of the identifiers, up to
+    /// @p successorCount of them, and others at random.
+    [[nodiscard]] std::vector<HostId> selectHosts(TimePoint now, std::size_t count,
+                                                  std::size_t successorCount) const;
     /// Up to @p count present hosts that are next in the order of the identifiers.
     [[nodiscard]] std::vector<HostId> successors(TimePoint now, std::size_t count) const;
     [[nodiscard]] FleetUpdate makeUpdate(TimePoint now, const PublishedState &state) const;
@@ -156,6 +167,7 @@
     HostId m_requestedFrom; ///< Host whose answer with items is pending; invalid if none.
     std::optional<TimePoint> m_behindSince; ///< Since when another host's state is newer.
     FleetCounters m_counters;
+    std::uint64_t m_quarantineDigest = 0;
     TimePoint m_startedAt;
     bool m_isStarted = false;
 };
--- a/currantreel/src/Forward/ForwardAttempts.cpp
+++ b/currantreel/src/Forward/ForwardAttempts.cpp
@@ -102,6 +102,8 @@
         call->attemptEventAt = now;
     call->progressAt = now;
     call->mayHaveRun = true;
+    if (now - *call->attemptEventAt >= SegmentQuarantine::proofTime)
+        recordProof(now, *call);
     if (call->state == State::Relayed)
         return;
     recordFirstEvent(now, *call);
@@ -161,6 +163,8 @@
     else if (!isNotRun(answer))
         call.progress =
             isFailure(answer) ? PlacementProgress::Failed : PlacementProgress::Succeeded;
+    if (isSuccess(answer.status))
+        recordProof(now, call);
     ForwardServer *server = m_directory.find(call.server);
     if (!server)
         return;
@@ -219,11 +223,16 @@
     addFailureRecord(now, *call, failure);
     const bool wasWritten = failure != AttemptFailure::NotConnected;
     call->progress = wasWritten ? PlacementProgress::Failed : PlacementProgress::Unreachable;
+    ServerRunId brokenRun;
     if (ForwardServer *server = m_directory.find(call->server)) {
         if (wasWritten)
             server->health.recordFailure(now);
         else
             m_directory.recordUnreachable(*server, now);
+        if (failure == AttemptFailure::Broken && !call->isProven) {
+            brokenRun = server->run();
+            checkServerRun(*call, *server);
+        }
     }
     cancelAttempt(*call);
     if (wasWritten)
@@ -232,6 +241,7 @@
         ++call->connectFailures;
     const bool hasTooManyFailures = call->connectFailures >= timing::maxConnectFailures;
     if (!hasTooManyFailures && retry(now, *call, wasWritten)) {
+        holdUntilChecked(now, *call, brokenRun);
         dispatchQueued(now);
         return;
     }
@@ -253,9 +263,11 @@
         m_effects.emplace_back(AbortForward{ call.id });
     } else {
         ++m_counters.refused[code];
-        const bool isNotRun = outcome == Outcome::NotRun;
-        m_effects.emplace_back(RefuseForward{
-            call.id, code, outcome, isNotRun ? timing::defaultRetryAfter : Duration::zero() });
+        Duration retryAfter{};
+        if (outcome == Outcome::NotRun)
+            retryAfter = m_quarantine.quarantineOf(now, call.sharedSegments)
+                             .value_or(timing::defaultRetryAfter);
+        m_effects.emplace_back(RefuseForward{ call.id, code, outcome, retryAfter });
     }
     end(call.id);
     dispatchQueued(now);
@@ -306,7 +318,9 @@
 void ForwardSystem::checkQueued(TimePoint now, Call &call)
 {
     const bool hasServers = !m_directory.usable(call.service).empty();
-    if (!hasServers && !call.hasBegun && now >= call.retryAt)
+    if (isHeld(now, call) && now >= *call.heldUntil)
+        refuseOrAbort(now, call, ResultCode::BackendServerLost);
+    else if (!hasServers && !call.hasBegun && now >= call.retryAt)
         refuseOrAbort(now, call, ResultCode::NoBackendServer);
     else if (now >= call.queuedUntil)
         refuseOrAbort(now, call, ResultCode::QueueFull);
@@ -320,6 +334,8 @@
         refuseOrAbort(now, call, ResultCode::RequestTimedOut);
         return;
     }
+    if (refuseIfQuarantined(now, call))
+        return;
     if (call.state == State::Requested) {
         checkOwnerRequest(now, call);
         return;
@@ -350,6 +366,7 @@
 
 void ForwardSystem::run(TimePoint now)
 {
+    m_quarantine.run(now);
     checkOwners(now);
     dispatchQueued(now);
     std::vector<RequestId> ids;
--- a/currantreel/src/Forward/ForwardMessages.h
+++ b/currantreel/src/Forward/ForwardMessages.h
@@ -5,6 +5,7 @@
 #include "../Core/Outcome.h"
 #include "../Core/ResultCode.h"
 #include "../Core/Time.h"
+#include "../Quarantine/SegmentReport.h"
 #include "../Settings/Address.h"
 #include "PlacementMessages.h"
 #include "Prompt.h"
@@ -134,6 +135,21 @@
     Duration maxPause{}; ///< Longest time between arrivals of a stream's events.
 };
 
+/// Finds out whether a server's run has ended: by a connection to its address, which a server that
+/// has ended refuses.
+struct CheckServerRun
+{
+    ServerRunId run;
+    Address address;
+};
+
+/// Result of CheckServerRun.
+enum class ServerRunState : std::uint8_t {
+    Running,
+    Ended,
+    Unknown, ///< No answer in time.
+};
+
 /// Log record of an attempt that ended without a complete answer.
 struct FailureRecord
 {
@@ -146,9 +162,9 @@
     std::optional<Duration> answered; ///< Time since the attempt's first event; none if none came.
 };
 
-using ForwardEffect =
-    std::variant<StartForward, CancelForward, RelayForward, FinishForward, RefuseForward,
-                 AbortForward, SendToOwner, ExcludeOwner, DecisionRecord, FailureRecord>;
+using ForwardEffect = std::variant<StartForward, CancelForward, RelayForward, FinishForward,
+                                   RefuseForward, AbortForward, SendToOwner, ExcludeOwner,
+                                   CheckServerRun, DecisionRecord, FailureRecord>;
 
 } // namespace currantreel
 
--- a/currantreel/src/Forward/ForwardSystem.cpp
+++ b/currantreel/src/Forward/ForwardSystem.cpp
@@ -58,12 +58,10 @@
     return sum;
 }
 
-void ForwardSystem::refuseArrival(const CallArrived &event, ResultCode code)
+void ForwardSystem::refuseArrival(const CallArrived &event, ResultCode code, Duration retryAfter)
 {
     ++m_counters.refused[code];
-    const bool isTemporary = info(code).httpStatus == detail::statusUnavailable;
-    const Duration advice = isTemporary ? timing::defaultRetryAfter : Duration::zero();
-    m_effects.emplace_back(RefuseForward{ event.request, code, Outcome::NotRun, advice });
+    m_effects.emplace_back(RefuseForward{ event.request, code, Outcome::NotRun, retryAfter });
     DecisionRecord refusal;
     refusal.kind = DecisionKind::Refused;
     refusal.request = event.request;
@@ -77,12 +75,12 @@
 bool ForwardSystem::admit(TimePoint now, const CallArrived &event, Call &call)
 {
     if (m_routes.version() == 0) {
-        refuseArrival(event, ResultCode::RequestNoConfiguration);
+        refuseArrival(event, ResultCode::RequestNoConfiguration, timing::defaultRetryAfter);
         return false;
     }
     call.route = m_routes.find(event.host, event.path);
     if (!call.route) {
-        refuseArrival(event, ResultCode::RequestUnknownRoute);
+        refuseArrival(event, ResultCode::RequestUnknownRoute, Duration::zero());
         return false;
     }
     call.configuration = m_routes.configuration();
@@ -90,7 +88,7 @@
     if (call.configuration->needsKeys && !call.route->isOpen) {
         workspace = m_routes.workspace(event.key);
         if (!workspace) {
-            refuseArrival(event, ResultCode::RequestUnknownKey);
+            refuseArrival(event, ResultCode::RequestUnknownKey, Duration::zero());
             return false;
         }
         call.workspace = workspace->name;
@@ -102,6 +100,8 @@
     call.prompt = event.prompt;
     call.bytes = event.bytes;
     if (call.route->hasPrompt) {
+        for (const PromptSegment &segment : call.prompt.sharedSegments())
+            call.sharedSegments.push_back(segment.id);
         const auto route = RouteId::ofName(call.route->name);
         m_groups.countPrompt(route, call.prompt.tokens);
         call.isLongPrompt = m_groups.isLong(route);
@@ -120,6 +120,10 @@
     Call call;
     if (!admit(now, event, call))
         return;
+    if (const auto timeLeft = m_quarantine.quarantineOf(now, call.sharedSegments)) {
+        refuseArrival(event, ResultCode::RequestQuarantined, *timeLeft);
+        return;
+    }
     m_retries.countRequest(call.service, now);
     Call &stored = m_calls.insert(std::move(call));
     enqueue(stored);
@@ -177,7 +181,7 @@
     auto next = queue.begin();
     while (next != queue.end()) {
         Call &call = *m_calls.find(next->request);
-        if (now < call.retryAt) {
+        if (now < call.retryAt || isHeld(now, call)) {
             ++next;
             continue;
         }
@@ -234,6 +238,9 @@
     call.sentAt = now;
     call.progressAt = now;
     call.isWritten = false;
+    call.isProven = false;
+    call.checkedRun = {};
+    call.heldUntil.reset();
     call.attemptEventAt.reset();
     const bool wasTried =
         std::find(call.tried.begin(), call.tried.end(), server.id) != call.tried.end();
@@ -315,8 +322,7 @@
     if (const ForwardServer *server = m_directory.find(call.server))
         record.instance = server->announced.instance;
     record.failure = failure;
-    for (const PromptSegment &segment : call.prompt.sharedSegments())
-        record.sharedSegments.push_back(segment.id);
+    record.sharedSegments = call.sharedSegments;
     record.sent = now - call.sentAt;
     if (call.attemptEventAt)
         record.answered = now - *call.attemptEventAt;
--- a/currantreel/src/Forward/ForwardSystem.h
+++ b/currantreel/src/Forward/ForwardSystem.h
@@ -2,6 +2,7 @@
 #define CURRANTREEL_FORWARD_FORWARDSYSTEM_H
 
 #include "../Core/Table.h"
+#include "../Quarantine/SegmentQuarantine.h"
 #include "EngineGroups.h"
 #include "ForwardCounters.h"
 #include "ForwardMessages.h"
@@ -56,6 +57,10 @@
     void onFailed(TimePoint now, AttemptId attempt, AttemptFailure failure);
     /// The owner @p from answered a request for a server.
     void onGrant(TimePoint now, HostId from, const PlacementGrant &grant);
+    /// A server's run was checked after a request broke there.
+    void onServerRunChecked(TimePoint now, ServerRunId run, ServerRunState state);
+    /// Another host reported on prompt segments under which servers ended.
+    void onSegmentReports(TimePoint now, const SegmentReports &reports);
 
     /// Servers were added or removed, or leases of other hosts changed.
     void onServersChanged(TimePoint now) { dispatchQueued(now); }
@@ -73,6 +78,8 @@
     [[nodiscard]] const ServerDirectory &directory() const { return m_directory; }
     [[nodiscard]] EngineGroups &groups() { return m_groups; }
     [[nodiscard]] const EngineGroups &groups() const { return m_groups; }
+    [[nodiscard]] SegmentQuarantine &quarantine() { return m_quarantine; }
+    [[nodiscard]] const SegmentQuarantine &quarantine() const { return m_quarantine; }
     [[nodiscard]] RetryBudget &retries() { return m_retries; }
     [[nodiscard]] const RouteTable &routes() const { return m_routes; }
     [[nodiscard]] const ForwardCounters &counters() const { return m_counters; }
@@ -94,6 +101,7 @@
         std::string workspace;
         std::uint32_t rank = 0; ///< Lower values are served first.
         Prompt prompt;
+        std::vector<std::uint64_t> sharedSegments; ///< Of the prompt of a model request.
         std::size_t bytes = 0; ///< Size of the body.
         bool isLongPrompt = false;
         std::size_t partition = 0; ///< Partition of the service's servers.
@@ -122,6 +130,11 @@
         Duration firstEvent{}; ///< From arrival to the first event; zero if none arrived.
         Duration maxPause{}; ///< Longest time between two arrivals of events.
         bool isWritten = false; ///< The current attempt wrote at least one byte.
+        bool isProven = false; ///< The current attempt shows that the request ends no server.
+        ServerRunId checkedRun; ///< Broke the request; it is being checked whether it ended.
+        /// Until then the request is held back while its segments are suspect, since a server ended
+        /// under it.
+        std::optional<TimePoint> heldUntil;
         bool mayHaveRun = false; ///< An attempt may have executed the request.
         bool hasBegun = false; ///< The caller received the beginning of the answer.
         std::uint32_t sends = 0; ///< Attempts that wrote at least one byte.
@@ -133,7 +146,7 @@
     };
 
     [[nodiscard]] bool admit(TimePoint now, const CallArrived &event, Call &call);
-    void refuseArrival(const CallArrived &event, ResultCode code);
+    void refuseArrival(const CallArrived &event, ResultCode code, Duration retryAfter);
     [[nodiscard]] Call *callOf(AttemptId attempt);
     void enqueue(Call &call);
     void dequeue(const Call &call);
@@ -180,6 +193,12 @@
     [[nodiscard]] bool isUnresponsive(TimePoint now, const Call &call) const;
     [[nodiscard]] DecisionRecord recordOf(TimePoint now, const Call &call, DecisionKind kind) const;
     void addRecord(DecisionRecord record);
+    void recordProof(TimePoint now, Call &call);
+    void checkServerRun(const Call &call, const ForwardServer &server);
+    void holdUntilChecked(TimePoint now, Call &call, ServerRunId run);
+    [[nodiscard]] bool isHeld(TimePoint now, const Call &call) const;
+    [[nodiscard]] bool refuseIfQuarantined(TimePoint now, Call &call);
+    void refuseQuarantined(TimePoint now);
     void addFailureRecord(TimePoint now, const Call &call, AttemptFailure failure);
 
     /// Partition of a service's servers.
@@ -210,6 +229,9 @@
     ServerDirectory m_directory;
     RetryBudget m_retries;
     EngineGroups m_groups;
+    SegmentQuarantine m_quarantine;
+    /// Shared segments of unproven requests that broke at a run that is being checked.
+    std::map<ServerRunId, std::vector<std::uint64_t>> m_checkedRuns;
     Table<Call> m_calls;
     std::unordered_map<AttemptId, RequestId> m_attempts;
     std::map<ServiceId, std::set<Position>> m_queues;
--- a/currantreel/src/Forward/ForwardTiming.h
+++ b/currantreel/src/Forward/ForwardTiming.h
@@ -32,6 +32,11 @@
 inline constexpr int silencePauseMultiple = 4;
 /// Delay before a retry at a server that already failed the request, if no other server is left.
 inline constexpr Duration retryDelay = 30ms;
+/// Wait for the check whether a server's run has ended.
+inline constexpr Duration serverRunCheckTimeout = 300ms;
+/// Time for which a request that broke with a server waits for other hosts to report that its
+/// segments are sound.
+inline constexpr Duration segmentClearanceWait = 500ms;
 /// Share of its timeout that a request may spend in the queue.
 inline constexpr double maxQueuedShare = 0.5;
 /// Retry-After advice to callers.
--- a/currantreel/src/Forward/ServerDirectory.h
+++ b/currantreel/src/Forward/ServerDirectory.h
@@ -2,6 +2,7 @@
 #define CURRANTREEL_FORWARD_SERVERDIRECTORY_H
 
 #include "../Core/Table.h"
+#include "../Quarantine/SegmentReport.h"
 #include "../Settings/Address.h"
 #include "DomainHealth.h"
 #include "PrefillModel.h"
@@ -13,6 +14,7 @@
 #include <optional>
 #include <string>
 #include <vector>
+#include <xxhash.h>
 
 namespace currantreel {
 
@@ -45,6 +47,13 @@
     std::uint32_t maxRequests = 0;
     std::uint32_t maxRequestsOfAllRanks = 0; ///< The same, counting all.
 
+    /// The run of the server's process, the same on all hosts.
+    [[nodiscard]] ServerRunId run() const
+    {
+        return ServerRunId{ XXH3_64bits_withSeed(&id.value, sizeof(id.value),
+                                                 announced.startedAt) };
+    }
+
     /// Load by all requests.
     [[nodiscard]] LoadAmount load() const { return load(rankCount - 1); }
     /// Load by the requests of @p rank and of more urgent ones.
--- a/currantreel/src/Peer/Generated/PeerMessage_generated.h
+++ b/currantreel/src/Peer/Generated/PeerMessage_generated.h
@@ -135,6 +135,14 @@
 struct PublishedNews;
 struct PublishedNewsBuilder;
 
+struct RunEnd;
+
+struct SegmentReport;
+struct SegmentReportBuilder;
+
+struct SegmentReports;
+struct SegmentReportsBuilder;
+
 struct Frame;
 struct FrameBuilder;
 
@@ -169,11 +177,12 @@
   PlacementGrant = 27,
   PlacementNotes = 28,
   PlacementsHeld = 29,
+  SegmentReports = 30,
   MIN = NONE,
-  MAX = PlacementsHeld
+  MAX = SegmentReports
 };
 
-inline const Body (&EnumValuesBody())[30] {
+inline const Body (&EnumValuesBody())[31] {
   static const Body values[] = {
     Body::NONE,
     Body::Greeting,
@@ -204,13 +213,14 @@
     Body::PlacementAsk,
     Body::PlacementGrant,
     Body::PlacementNotes,
-    Body::PlacementsHeld
+    Body::PlacementsHeld,
+    Body::SegmentReports
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[31] = {
+  static const char * const names[32] = {
     "NONE",
     "Greeting",
     "Proof",
@@ -241,13 +251,14 @@
     "PlacementGrant",
     "PlacementNotes",
     "PlacementsHeld",
+    "SegmentReports",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::PlacementsHeld)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::SegmentReports)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -372,6 +383,10 @@
   static const Body enum_value = Body::PlacementsHeld;
 };
 
+template<> struct BodyTraits<currantreel::wire::SegmentReports> {
+  static const Body enum_value = Body::SegmentReports;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -830,6 +845,39 @@
   using type = HeldPlacement;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) RunEnd FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t run_;
+  uint32_t age_ms_;
+  int32_t padding0__;
+
+ public:
+  struct Traits;
+  RunEnd()
+      : run_(0),
+        age_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  RunEnd(uint64_t _run, uint32_t _age_ms)
+      : run_(flatbuffers::EndianScalar(_run)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t run() const {
+    return flatbuffers::EndianScalar(run_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(RunEnd, 16);
+
+struct RunEnd::Traits {
+  using type = RunEnd;
+};
+
 struct GrantRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef GrantRequestBuilder Builder;
   struct Traits;
@@ -2782,7 +2830,8 @@
     VT_SENDER = 4,
     VT_REVISION = 6,
     VT_HOSTS = 8,
-    VT_AGE_MS = 10
+    VT_AGE_MS = 10,
+    VT_QUARANTINE_DIGEST = 12
   };
   const currantreel::wire::FleetHost *sender() const {
     return GetStruct<const currantreel::wire::FleetHost *>(VT_SENDER);
@@ -2796,6 +2845,9 @@
   uint32_t age_ms() const {
     return GetField<uint32_t>(VT_AGE_MS, 0);
   }
+  uint64_t quarantine_digest() const {
+    return GetField<uint64_t>(VT_QUARANTINE_DIGEST, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<currantreel::wire::FleetHost>(verifier, VT_SENDER, 8) &&
@@ -2803,6 +2855,7 @@
            VerifyOffset(verifier, VT_HOSTS) &&
            verifier.VerifyVector(hosts()) &&
            VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_QUARANTINE_DIGEST, 8) &&
            verifier.EndTable();
   }
 };
@@ -2823,6 +2876,9 @@
   void add_age_ms(uint32_t age_ms) {
     fbb_.AddElement<uint32_t>(FleetNews::VT_AGE_MS, age_ms, 0);
   }
+  void add_quarantine_digest(uint64_t quarantine_digest) {
+    fbb_.AddElement<uint64_t>(FleetNews::VT_QUARANTINE_DIGEST, quarantine_digest, 0);
+  }
   explicit FleetNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2839,8 +2895,10 @@
     const currantreel::wire::FleetHost *sender = nullptr,
     uint64_t revision = 0,
     flatbuffers::Offset<flatbuffers::Vector<const currantreel::wire::FleetHost *>> hosts = 0,
-    uint32_t age_ms = 0) {
+    uint32_t age_ms = 0,
+    uint64_t quarantine_digest = 0) {
   FleetNewsBuilder builder_(_fbb);
+  builder_.add_quarantine_digest(quarantine_digest);
   builder_.add_revision(revision);
   builder_.add_age_ms(age_ms);
   builder_.add_hosts(hosts);
@@ -2858,14 +2916,16 @@
     const currantreel::wire::FleetHost *sender = nullptr,
     uint64_t revision = 0,
     const std::vector<currantreel::wire::FleetHost> *hosts = nullptr,
-    uint32_t age_ms = 0) {
+    uint32_t age_ms = 0,
+    uint64_t quarantine_digest = 0) {
   auto hosts__ = hosts ? _fbb.CreateVectorOfStructs<currantreel::wire::FleetHost>(*hosts) : 0;
   return currantreel::wire::CreateFleetNews(
       _fbb,
       sender,
       revision,
       hosts__,
-      age_ms);
+      age_ms,
+      quarantine_digest);
 }
 
 struct PlacementAsk FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3606,6 +3666,169 @@
       age_ms);
 }
 
+struct SegmentReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef SegmentReportBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SEGMENT = 4,
+    VT_ENDS = 6,
+    VT_SOUND_AGE_MS = 8
+  };
+  uint64_t segment() const {
+    return GetField<uint64_t>(VT_SEGMENT, 0);
+  }
+  const flatbuffers::Vector<const currantreel::wire::RunEnd *> *ends() const {
+    return GetPointer<const flatbuffers::Vector<const currantreel::wire::RunEnd *> *>(VT_ENDS);
+  }
+  uint32_t sound_age_ms() const {
+    return GetField<uint32_t>(VT_SOUND_AGE_MS, 4294967295);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SEGMENT, 8) &&
+           VerifyOffset(verifier, VT_ENDS) &&
+           verifier.VerifyVector(ends()) &&
+           VerifyField<uint32_t>(verifier, VT_SOUND_AGE_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct SegmentReportBuilder {
+  typedef SegmentReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_segment(uint64_t segment) {
+    fbb_.AddElement<uint64_t>(SegmentReport::VT_SEGMENT, segment, 0);
+  }
+  void add_ends(flatbuffers::Offset<flatbuffers::Vector<const currantreel::wire::RunEnd *>> ends) {
+    fbb_.AddOffset(SegmentReport::VT_ENDS, ends);
+  }
+  void add_sound_age_ms(uint32_t sound_age_ms) {
+    fbb_.AddElement<uint32_t>(SegmentReport::VT_SOUND_AGE_MS, sound_age_ms, 4294967295);
+  }
+  explicit SegmentReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<SegmentReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<SegmentReport>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<SegmentReport> CreateSegmentReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t segment = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const currantreel::wire::RunEnd *>> ends = 0,
+    uint32_t sound_age_ms = 4294967295) {
+  SegmentReportBuilder builder_(_fbb);
+  builder_.add_segment(segment);
+  builder_.add_sound_age_ms(sound_age_ms);
+  builder_.add_ends(ends);
+  return builder_.Finish();
+}
+
+struct SegmentReport::Traits {
+  using type = SegmentReport;
+  static auto constexpr Create = CreateSegmentReport;
+};
+
+inline flatbuffers::Offset<SegmentReport> CreateSegmentReportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t segment = 0,
+    const std::vector<currantreel::wire::RunEnd> *ends = nullptr,
+    uint32_t sound_age_ms = 4294967295) {
+  auto ends__ = ends ? _fbb.CreateVectorOfStructs<currantreel::wire::RunEnd>(*ends) : 0;
+  return currantreel::wire::CreateSegmentReport(
+      _fbb,
+      segment,
+      ends__,
+      sound_age_ms);
+}
+
+struct SegmentReports FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef SegmentReportsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REPORTS = 4,
+    VT_DIGEST = 6,
+    VT_IS_ANSWER_WANTED = 8
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<currantreel::wire::SegmentReport>> *reports() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<currantreel::wire::SegmentReport>> *>(VT_REPORTS);
+  }
+  uint64_t digest() const {
+    return GetField<uint64_t>(VT_DIGEST, 0);
+  }
+  bool is_answer_wanted() const {
+    return GetField<uint8_t>(VT_IS_ANSWER_WANTED, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_REPORTS) &&
+           verifier.VerifyVector(reports()) &&
+           verifier.VerifyVectorOfTables(reports()) &&
+           VerifyField<uint64_t>(verifier, VT_DIGEST, 8) &&
+           VerifyField<uint8_t>(verifier, VT_IS_ANSWER_WANTED, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct SegmentReportsBuilder {
+  typedef SegmentReports Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_reports(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<currantreel::wire::SegmentReport>>> reports) {
+    fbb_.AddOffset(SegmentReports::VT_REPORTS, reports);
+  }
+  void add_digest(uint64_t digest) {
+    fbb_.AddElement<uint64_t>(SegmentReports::VT_DIGEST, digest, 0);
+  }
+  void add_is_answer_wanted(bool is_answer_wanted) {
+    fbb_.AddElement<uint8_t>(SegmentReports::VT_IS_ANSWER_WANTED, static_cast<uint8_t>(is_answer_wanted), 0);
+  }
+  explicit SegmentReportsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<SegmentReports> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<SegmentReports>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<SegmentReports> CreateSegmentReports(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<currantreel::wire::SegmentReport>>> reports = 0,
+    uint64_t digest = 0,
+    bool is_answer_wanted = false) {
+  SegmentReportsBuilder builder_(_fbb);
+  builder_.add_digest(digest);
+  builder_.add_reports(reports);
+  builder_.add_is_answer_wanted(is_answer_wanted);
+  return builder_.Finish();
+}
+
+struct SegmentReports::Traits {
+  using type = SegmentReports;
+  static auto constexpr Create = CreateSegmentReports;
+};
+
+inline flatbuffers::Offset<SegmentReports> CreateSegmentReportsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<currantreel::wire::SegmentReport>> *reports = nullptr,
+    uint64_t digest = 0,
+    bool is_answer_wanted = false) {
+  auto reports__ = reports ? _fbb.CreateVector<flatbuffers::Offset<currantreel::wire::SegmentReport>>(*reports) : 0;
+  return currantreel::wire::CreateSegmentReports(
+      _fbb,
+      reports__,
+      digest,
+      is_answer_wanted);
+}
+
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FrameBuilder Builder;
   struct Traits;
@@ -3715,6 +3938,9 @@
   const currantreel::wire::PlacementsHeld *body_as_PlacementsHeld() const {
     return body_type() == currantreel::wire::Body::PlacementsHeld ? static_cast<const currantreel::wire::PlacementsHeld *>(body()) : nullptr;
   }
+  const currantreel::wire::SegmentReports *body_as_SegmentReports() const {
+    return body_type() == currantreel::wire::Body::SegmentReports ? static_cast<const currantreel::wire::SegmentReports *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
@@ -3842,6 +4068,10 @@
   return body_as_PlacementsHeld();
 }
 
+template<> inline const currantreel::wire::SegmentReports *Frame::body_as<currantreel::wire::SegmentReports>() const {
+  return body_as_SegmentReports();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -4009,6 +4239,10 @@
       auto ptr = reinterpret_cast<const currantreel::wire::PlacementsHeld *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::SegmentReports: {
+      auto ptr = reinterpret_cast<const currantreel::wire::SegmentReports *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/currantreel/src/Peer/PeerDecoder.cpp
+++ b/currantreel/src/Peer/PeerDecoder.cpp
@@ -1,6 +1,7 @@
 #include "PeerDecoder.h"
 
 #include "../Forward/ServerLoad.h"
+#include "../Quarantine/SegmentQuarantine.h"
 #include "FieldReader.h"
 #include "PeerFrame.h"
 #include "ValueCompression.h"
@@ -186,6 +187,7 @@
     FleetUpdate update;
     update.revision = table.revision();
     update.age = ageOf(table.age_ms());
+    update.quarantineDigest = table.quarantine_digest();
     if (!table.sender() || !isAligned(table.hosts()))
         reader.reject();
     if (!reader.isValid())
@@ -331,6 +333,39 @@
     return update;
 }
 
+Duration ageOfSegment(std::uint32_t milliseconds)
+{
+    return std::min<Duration>(std::chrono::milliseconds(milliseconds), maxTime);
+}
+
+SegmentReport reportOf(FieldReader &reader, const wire::SegmentReport &table)
+{
+    SegmentReport report;
+    report.segment = table.segment();
+    if (table.sound_age_ms() != std::numeric_limits<std::uint32_t>::max())
+        report.soundAge = ageOfSegment(table.sound_age_ms());
+    reader.require(isAligned(table.ends())
+                   && (!table.ends() || table.ends()->size() <= SegmentQuarantine::maxEnds));
+    if (!reader.isValid() || !table.ends())
+        return report;
+    for (const wire::RunEnd *end : *table.ends())
+        report.ends.push_back({ ServerRunId{ end->run() }, ageOfSegment(end->age_ms()) });
+    return report;
+}
+
+SegmentReports decode(FieldReader &reader, const wire::SegmentReports &table)
+{
+    SegmentReports message;
+    message.digest = table.digest();
+    message.isAnswerWanted = table.is_answer_wanted();
+    reader.require(!table.reports() || table.reports()->size() <= SegmentQuarantine::maxReports);
+    if (!reader.isValid() || !table.reports())
+        return message;
+    for (const wire::SegmentReport *report : *table.reports())
+        message.reports.push_back(reportOf(reader, *report));
+    return message;
+}
+
 template <typename Table>
 std::optional<PeerMessage> decodeAs(const wire::Frame &frame)
 {
@@ -396,6 +431,8 @@
         return decodeAs<wire::PlacementNotes>(frame);
     case wire::Body::PlacementsHeld:
         return decodeAs<wire::PlacementsHeld>(frame);
+    case wire::Body::SegmentReports:
+        return decodeAs<wire::SegmentReports>(frame);
     default:
         return std::nullopt;
     }
--- a/currantreel/src/Peer/PeerEncoder.cpp
+++ b/currantreel/src/Peer/PeerEncoder.cpp
@@ -170,6 +170,9 @@
     return static_cast<std::uint32_t>(std::clamp<std::int64_t>(toMilliseconds(time), 0, highest));
 }
 
+/// Value of sound_age_ms that says that no proof is known.
+constexpr std::uint32_t noSoundAge = std::numeric_limits<std::uint32_t>::max();
+
 wire::FleetHost toWire(const FleetHost &host)
 {
     in_addr ip{};
@@ -191,7 +194,7 @@
         hosts.push_back(toWire(host));
     const auto hostVector = builder.CreateVectorOfStructs(hosts);
     return bodyOf(wire::CreateFleetNews(builder, &sender, message.revision, hostVector,
-                                        toWireMilliseconds(message.age)));
+                                        toWireMilliseconds(message.age), message.quarantineDigest));
 }
 
 std::uint8_t toWireRank(std::uint32_t rank)
@@ -278,6 +281,29 @@
                                             message.revision, toWireMilliseconds(message.age)));
 }
 
+flatbuffers::Offset<wire::SegmentReport> encodeReport(Builder &builder, const SegmentReport &report)
+{
+    std::vector<wire::RunEnd> ends;
+    ends.reserve(report.ends.size());
+    for (const RunEnd &end : report.ends)
+        ends.emplace_back(end.run.value, toWireMilliseconds(end.age));
+    const auto vector = builder.CreateVectorOfStructs(ends);
+    const std::uint32_t soundAge =
+        report.soundAge ? std::min(toWireMilliseconds(*report.soundAge), noSoundAge - 1)
+                        : noSoundAge;
+    return wire::CreateSegmentReport(builder, report.segment, vector, soundAge);
+}
+
+EncodedBody encode(Builder &builder, const SegmentReports &message)
+{
+    std::vector<flatbuffers::Offset<wire::SegmentReport>> reports;
+    reports.reserve(message.reports.size());
+    for (const SegmentReport &report : message.reports)
+        reports.push_back(encodeReport(builder, report));
+    return bodyOf(wire::CreateSegmentReports(builder, builder.CreateVector(reports), message.digest,
+                                             message.isAnswerWanted));
+}
+
 template <typename Message>
 concept Encodable = requires(Builder &builder, const Message &message)
 {
--- /dev/null
+++ b/currantreel/src/Quarantine/SegmentQuarantine.cpp
@@ -0,0 +1,299 @@
+#include "SegmentQuarantine.h"
+
+#include <algorithm>
+#include <iterator>
+#include <xxhash.h>
+
+namespace currantreel {
+
+namespace {
+
+/// A further end replaces the newest of maxEnds kept ones if it is later by this.
+constexpr Duration minRenewal = std::chrono::seconds(1);
+/// Time after which evidence that concluded something, and other evidence, is forgotten. The first
+/// outlasts the quarantine: a single further end then renews it.
+constexpr Duration conclusiveRetention = 2 * SegmentQuarantine::period;
+constexpr Duration suspicionRetention = 2 * SegmentQuarantine::suspectPeriod;
+
+bool contains(std::span<const std::uint64_t> segments, std::uint64_t segment)
+{
+    return std::find(segments.begin(), segments.end(), segment) != segments.end();
+}
+
+} // namespace
+
+SegmentQuarantine::Evidence SegmentQuarantine::evidenceOf(const Entry &entry)
+{
+    Evidence evidence;
+    evidence.newest = entry.newestEndAt;
+    evidence.wasSound = entry.soundAt.has_value();
+    evidence.first = entry.newestEndAt;
+    evidence.ends = entry.ends.size();
+    for (const auto &[run, at] : entry.ends)
+        evidence.first = std::min(evidence.first, at);
+    return evidence;
+}
+
+bool SegmentQuarantine::isConclusive(const Evidence &evidence)
+{
+    const std::size_t ends = evidence.wasSound ? endsToConcludeIfSound : endsToConclude;
+    const Duration spread = evidence.wasSound ? spreadToConcludeIfSound : spreadToConclude;
+    return evidence.ends >= ends && evidence.newest - evidence.first >= spread;
+}
+
+bool SegmentQuarantine::isQuarantined(TimePoint now, const Entry &entry)
+{
+    return now - entry.newestEndAt < period && isConclusive(evidenceOf(entry));
+}
+
+const SegmentQuarantine::Entry *SegmentQuarantine::find(std::uint64_t segment) const
+{
+    const auto found = m_entries.find(segment);
+    return found == m_entries.end() ? nullptr : &found->second;
+}
+
+SegmentQuarantine::Entry &SegmentQuarantine::entryOf(std::uint64_t segment)
+{
+    const auto [found, isNew] = m_entries.try_emplace(segment);
+    if (isNew)
+        found->second.soundAt = m_sound.lastSound(segment);
+    return found->second;
+}
+
+void SegmentQuarantine::addEnd(Entry &entry, ServerRunId run, TimePoint at)
+{
+    if (entry.ends.contains(run))
+        return;
+    const TimePoint newest = std::max(entry.newestEndAt, at);
+    const bool isDiscarded = entry.soundAt && at <= *entry.soundAt;
+    if (isDiscarded) {
+        entry.newestEndAt = newest;
+        return;
+    }
+    if (entry.ends.size() >= maxEnds) {
+        if (at < entry.newestEndAt + minRenewal)
+            return;
+        std::erase_if(entry.ends, [&](const auto &end) { return end.second == entry.newestEndAt; });
+    }
+    entry.ends.emplace(run, at);
+    entry.newestEndAt = newest;
+    entry.isReportChanged = true;
+}
+
+void SegmentQuarantine::recordEnd(TimePoint now, ServerRunId run,
+                                  std::span<const std::uint64_t> segments)
+{
+    for (const std::uint64_t segment : segments)
+        addEnd(entryOf(segment), run, now);
+    dropExcess();
+}
+
+void SegmentQuarantine::addSound(TimePoint now, std::uint64_t segment, TimePoint at)
+{
+    m_sound.add(now, segment, at);
+    const auto found = m_entries.find(segment);
+    if (found == m_entries.end())
+        return;
+    Entry &entry = found->second;
+    const bool isFirst = !entry.soundAt;
+    entry.soundAt = std::max(entry.soundAt.value_or(at), at);
+    const std::size_t discarded =
+        std::erase_if(entry.ends, [&](const auto &end) { return end.second <= *entry.soundAt; });
+    if (isFirst || discarded > 0)
+        entry.isReportChanged = true;
+}
+
+void SegmentQuarantine::recordSound(TimePoint now, std::uint64_t segment)
+{
+    addSound(now, segment, now);
+}
+
+bool SegmentQuarantine::isKnownSound(std::uint64_t segment) const
+{
+    if (!m_sound.lastSound(segment))
+        return false;
+    const Entry *entry = find(segment);
+    return !entry || !isConclusive(evidenceOf(*entry));
+}
+
+bool SegmentQuarantine::isSuspect(TimePoint now, std::uint64_t segment) const
+{
+    const Entry *entry = find(segment);
+    if (!entry || now - entry->newestEndAt >= suspectPeriod)
+        return false;
+    const Evidence evidence = evidenceOf(*entry);
+    return evidence.ends > 0 && (!evidence.wasSound || isConclusive(evidence));
+}
+
+bool SegmentQuarantine::isExplained(TimePoint now, const Entry &entry,
+                                    std::span<const std::uint64_t> segments) const
+{
+    return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto &candidate) {
+        const auto &[segment, other] = candidate;
+        const auto hasEnd = [&](const auto &end) { return other.ends.contains(end.first); };
+        return !contains(segments, segment) && isQuarantined(now, other)
+               && std::all_of(entry.ends.begin(), entry.ends.end(), hasEnd);
+    });
+}
+
+std::optional<Duration>
+SegmentQuarantine::quarantineOf(TimePoint now, std::span<const std::uint64_t> segments) const
+{
+    if (m_entries.empty())
+        return std::nullopt;
+    for (const std::uint64_t segment : segments) {
+        const Entry *entry = find(segment);
+        if (entry && isQuarantined(now, *entry) && !isExplained(now, *entry, segments))
+            return entry->newestEndAt + period - now;
+    }
+    return std::nullopt;
+}
+
+bool SegmentQuarantine::clear(TimePoint now, std::uint64_t segment)
+{
+    const Entry *entry = find(segment);
+    if (!entry || !isQuarantined(now, *entry))
+        return false;
+    recordSound(now, segment);
+    return true;
+}
+
+void SegmentQuarantine::merge(TimePoint now, const std::vector<SegmentReport> &reports)
+{
+    for (const SegmentReport &report : reports) {
+        if (report.soundAge)
+            addSound(now, report.segment, now - *report.soundAge);
+        const bool isCurrent =
+            std::any_of(report.ends.begin(), report.ends.end(),
+                        [](const RunEnd &end) { return end.age < suspicionRetention; });
+        if (report.ends.empty() || (!isCurrent && report.ends.size() < endsToConclude))
+            continue;
+        Entry &entry = entryOf(report.segment);
+        for (const RunEnd &end : report.ends)
+            addEnd(entry, end.run, now - end.age);
+        // The sender does not know what discards its evidence.
+        const bool isNewsToSender = entry.ends.empty() && entry.soundAt;
+        entry.isReportChanged = entry.isReportChanged || isNewsToSender;
+    }
+    dropExcess();
+}
+
+void SegmentQuarantine::dropExcess()
+{
+    while (m_entries.size() > maxSegments) {
+        const auto hasLess = [](const auto &left, const auto &right) {
+            const std::size_t leftEnds = evidenceOf(left.second).ends;
+            const std::size_t rightEnds = evidenceOf(right.second).ends;
+            if (leftEnds != rightEnds)
+                return leftEnds < rightEnds;
+            return left.second.newestEndAt < right.second.newestEndAt;
+        };
+        m_entries.erase(std::min_element(m_entries.begin(), m_entries.end(), hasLess));
+    }
+}
+
+SegmentReport SegmentQuarantine::reportOf(TimePoint now, std::uint64_t segment, const Entry &entry)
+{
+    SegmentReport report;
+    report.segment = segment;
+    for (const auto &[run, at] : entry.ends)
+        report.ends.push_back({ run, now - at });
+    if (entry.soundAt)
+        report.soundAge = now - *entry.soundAt;
+    return report;
+}
+
+bool SegmentQuarantine::hasChangedReports() const
+{
+    return std::any_of(m_entries.begin(), m_entries.end(),
+                       [](const auto &entry) { return entry.second.isReportChanged; });
+}
+
+std::vector<SegmentReport> SegmentQuarantine::takeChangedReports(TimePoint now)
+{
+    std::vector<Entries::value_type *> changed;
+    for (auto &entry : m_entries) {
+        if (entry.second.isReportChanged)
+            changed.push_back(&entry);
+    }
+    std::stable_sort(changed.begin(), changed.end(), [](const auto *left, const auto *right) {
+        return left->second.ends.size() > right->second.ends.size();
+    });
+    changed.resize(std::min(changed.size(), maxReports));
+    std::vector<SegmentReport> reports;
+    for (auto *entry : changed) {
+        entry->second.isReportChanged = false;
+        reports.push_back(reportOf(now, entry->first, entry->second));
+    }
+    return reports;
+}
+
+std::vector<SegmentReport> SegmentQuarantine::conclusiveReports(TimePoint now) const
+{
+    std::vector<SegmentReport> reports;
+    for (const auto &[segment, entry] : m_entries) {
+        if (entry.isConcluded && reports.size() < maxReports)
+            reports.push_back(reportOf(now, segment, entry));
+    }
+    return reports;
+}
+
+std::uint64_t SegmentQuarantine::digest(TimePoint now) const
+{
+    std::uint64_t digest = 0;
+    for (const auto &[segment, entry] : m_entries) {
+        if (isQuarantined(now, entry))
+            digest ^= XXH3_64bits(&segment, sizeof(segment));
+    }
+    return digest;
+}
+
+SegmentQuarantine::Change SegmentQuarantine::changeOf(std::uint64_t segment, const Entry &entry,
+                                                      Belief belief)
+{
+    const Evidence evidence = evidenceOf(entry);
+    Change change;
+    change.segment = segment;
+    change.belief = belief;
+    change.ends = evidence.ends;
+    change.spread = evidence.newest - evidence.first;
+    change.wasSound = evidence.wasSound;
+    return change;
+}
+
+void SegmentQuarantine::run(TimePoint now)
+{
+    for (auto entry = m_entries.begin(); entry != m_entries.end();) {
+        auto &[segment, state] = *entry;
+        const bool isNow = isQuarantined(now, state);
+        if (isNow != state.wasQuarantined) {
+            const Belief ended = state.ends.empty() ? Belief::Cleared : Belief::Expired;
+            m_changes.push_back(changeOf(segment, state, isNow ? Belief::Quarantined : ended));
+            state.wasQuarantined = isNow;
+            state.isConcluded = true;
+        }
+        const Duration retention = state.isConcluded ? conclusiveRetention : suspicionRetention;
+        const TimePoint newest = std::max(state.newestEndAt, state.soundAt.value_or(TimePoint()));
+        entry = now - newest >= retention ? m_entries.erase(entry) : std::next(entry);
+    }
+}
+
+std::vector<SegmentQuarantine::Listing> SegmentQuarantine::listing(TimePoint now) const
+{
+    std::vector<Listing> listing;
+    for (const auto &[segment, entry] : m_entries) {
+        if (isQuarantined(now, entry))
+            listing.push_back({ changeOf(segment, entry, Belief::Quarantined),
+                                entry.newestEndAt + period - now });
+    }
+    return listing;
+}
+
+std::size_t SegmentQuarantine::quarantined(TimePoint now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_entries.begin(), m_entries.end(),
+                      [now](const auto &entry) { return isQuarantined(now, entry.second); }));
+}
+
+} // namespace currantreel
--- a/currantreel/src/Shell/DecisionLog.cpp
+++ b/currantreel/src/Shell/DecisionLog.cpp
@@ -41,6 +41,32 @@
     return "broken";
 }
 
+std::string_view nameOf(ServerRunState state)
+{
+    switch (state) {
+    case ServerRunState::Running:
+        return "running";
+    case ServerRunState::Ended:
+        return "ended";
+    case ServerRunState::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+std::string_view nameOf(SegmentQuarantine::Belief belief)
+{
+    switch (belief) {
+    case SegmentQuarantine::Belief::Quarantined:
+        return "segment_quarantined";
+    case SegmentQuarantine::Belief::Cleared:
+        return "segment_cleared";
+    case SegmentQuarantine::Belief::Expired:
+        return "segment_quarantine_expired";
+    }
+    return "segment_quarantined";
+}
+
 } // namespace
 
 std::string hexOf(HostId host)
@@ -108,4 +134,19 @@
                 { "answered_ms", record.answered ? milliseconds(*record.answered) : "none" } });
 }
 
+void writeServerRun(const Log &log, ServerRunId run, ServerRunState state)
+{
+    log.write("server_run_checked", { { "run", fmt::format("{:x}", run.value) },
+                                      { "state", std::string(nameOf(state)) } });
+}
+
+void writeQuarantine(const Log &log, const SegmentQuarantine::Change &change)
+{
+    log.write(nameOf(change.belief),
+              { { "segment", fmt::format("{:x}", change.segment) },
+                { "ends", std::to_string(change.ends) },
+                { "spread_ms", std::to_string(toMilliseconds(change.spread)) },
+                { "was_sound", change.wasSound ? "true" : "false" } });
+}
+
 } // namespace currantreel
--- a/currantreel/src/Shell/EventHandles.h
+++ b/currantreel/src/Shell/EventHandles.h
@@ -28,6 +28,7 @@
 
 using EventBaseHandle = std::unique_ptr<event_base, detail::EventDeleter<event_base_free>>;
 using EventHandle = std::unique_ptr<event, detail::EventDeleter<event_free>>;
+using BuffereventHandle = std::unique_ptr<bufferevent, detail::EventDeleter<bufferevent_free>>;
 using HttpServerHandle = std::unique_ptr<evhttp, detail::EventDeleter<evhttp_free>>;
 using HttpConnectionHandle =
     std::unique_ptr<evhttp_connection, detail::EventDeleter<evhttp_connection_free>>;
--- a/currantreel/src/Shell/ForwardDaemon.cpp
+++ b/currantreel/src/Shell/ForwardDaemon.cpp
@@ -119,6 +119,8 @@
                   })),
       m_reader(m_store, m_published, readerTiming(m_settings)),
       m_fleet(m_settings.peers, firstHeartbeat(), randomSeed()),
+      m_runChecks(m_base.get(), [this](ServerRunId run,
+                                       ServerRunState state) { onServerRunChecked(run, state); }),
       m_leases(m_system.directory(), m_system.groups(), Incarnation{ wallClockMilliseconds() }),
       m_peers(
           m_base.get(), m_settings,
@@ -201,6 +203,7 @@
 {
     auto *daemon = static_cast<ForwardDaemon *>(self);
     daemon->m_callers.sweep();
+    daemon->m_runChecks.sweep();
     daemon->m_log.flush();
 }
 
@@ -212,6 +215,7 @@
     runFleet(time);
     m_system.run(time);
     applyEffects();
+    runQuarantine(time);
     grantQueued(time);
     checkSettingsFile(time);
     closeIdleConnections(time);
--- a/currantreel/src/Shell/ForwardDaemon.h
+++ b/currantreel/src/Shell/ForwardDaemon.h
@@ -2,6 +2,7 @@
 #define CURRANTREEL_SHELL_FORWARDDAEMON_H
 
 #include "../Fleet/FleetSystem.h"
+#include "../Fleet/QuarantineSpread.h"
 #include "../Forward/PlacementLeases.h"
 #include "../Forward/PublishedReader.h"
 #include "../Forward/PublishedState.h"
@@ -9,6 +10,7 @@
 #include "ForwardOperatorHttpServer.h"
 #include "PeerLinks.h"
 #include "PublishedStateLog.h"
+#include "ServerRunChecks.h"
 #include <platform/PublishedDocuments.h>
 #include <platform/StoreClient.h>
 
@@ -59,6 +61,7 @@
     void receive(HostId from, const PlacementGrant &grant);
     void receive(HostId from, const PlacementUpdates &updates);
     void receive(HostId from, const ActivePlacements &placements);
+    void receive(HostId from, const SegmentReports &reports);
     /// Ignores messages of the model interface, which hosts of published routes do not use.
     template <typename T>
     void receive(HostId /*from*/, const T & /*message*/)
@@ -67,6 +70,8 @@
     void runFleet(TimePoint now);
     void grantQueued(TimePoint now);
     void sendFleet(TimePoint now);
+    void runQuarantine(TimePoint now);
+    void onServerRunChecked(ServerRunId run, ServerRunState state);
     [[nodiscard]] FleetHost describeSelf() const;
     void onStoreFailed(ReadFailure failure, const std::string &detail);
     void setStoreReachable(bool isReachable, const std::string &detail);
@@ -74,6 +79,7 @@
     void handle(const FailureRecord &record);
     void handle(const SendToOwner &effect);
     void handle(const ExcludeOwner &effect);
+    void handle(const CheckServerRun &effect);
     template <typename T>
     void handle(const T &effect)
     {
@@ -100,6 +106,8 @@
     platform::StoreClient m_store;
     Reader m_reader;
     FleetSystem m_fleet;
+    QuarantineSpread m_quarantineSpread;
+    ServerRunChecks m_runChecks;
     PlacementLeases m_leases;
     PeerLinks m_peers;
     ForwardOperatorHttpServer m_operators;
--- a/currantreel/src/Shell/ForwardDaemonUpdates.cpp
+++ b/currantreel/src/Shell/ForwardDaemonUpdates.cpp
@@ -98,6 +98,7 @@
 void ForwardDaemon::receive(HostId from, const FleetUpdate &update)
 {
     m_fleet.receive(steadyNow(), from, update, m_published);
+    m_quarantineSpread.onUpdate(steadyNow(), from, update.quarantineDigest, m_system.quarantine());
 }
 
 void ForwardDaemon::receive(HostId from, const PublishedRequest &request)
--- a/currantreel/src/World/PeerMessage.h
+++ b/currantreel/src/World/PeerMessage.h
@@ -6,6 +6,7 @@
 #include "../Fleet/FleetMessages.h"
 #include "../Forward/PlacementMessages.h"
 #include "../Membership/MembershipMessages.h"
+#include "../Quarantine/SegmentReport.h"
 #include <variant>
 
 namespace currantreel {
@@ -16,7 +17,7 @@
                  ConfigurationAnnounce, PatchRequest, PatchBatch, SnapshotRequest, SnapshotChunk,
                  LeavingServers, LeasePreempted, Probe, ProbeAck, ProbeRequest, UpdatePush,
                  GrantMoved, FleetUpdate, PublishedUpdate, PublishedRequest, PlacementGrantRequest,
-                 PlacementGrant, PlacementUpdates, ActivePlacements>;
+                 PlacementGrant, PlacementUpdates, ActivePlacements, SegmentReports>;
 
 } // namespace currantreel
 
--- a/currantreel/src/World/World.h
+++ b/currantreel/src/World/World.h
@@ -90,6 +90,7 @@
     void receive(HostId /*from*/, const PlacementGrant & /*message*/) { }
     void receive(HostId /*from*/, const PlacementUpdates & /*message*/) { }
     void receive(HostId /*from*/, const ActivePlacements & /*message*/) { }
+    void receive(HostId /*from*/, const SegmentReports & /*message*/) { }
     template <MembershipMessage Message>
     void receive(HostId from, const Message &message);
 
--- a/standins/site.cpp
+++ b/standins/site.cpp
@@ -244,6 +244,7 @@
             server->instance = fields.at(0);
             const auto address = currantreel::parseAddress(fields.at(1));
             server->http.reset(evhttp_new(base));
+            server->end.reset(event_new(base, -1, 0, &BackendServers::onEnd, server.get()));
             evhttp_set_gencb(server->http.get(), &BackendServers::onRequest, server.get());
             if (!address
                 || evhttp_bind_socket(server->http.get(), address->ip.c_str(), address->port) != 0)
@@ -266,8 +267,24 @@
         BackendServers *servers = nullptr;
         std::string instance;
         currantreel::HttpServerHandle http;
+        currantreel::EventHandle end; ///< Ends the server outside of its callbacks.
     };
 
+    static void onEnd(int /*descriptor*/, short /*what*/, void *server)
+    {
+        static_cast<Server *>(server)->http.reset();
+    }
+
+    /// Ends the server of @p run: its connections break and new ones are refused.
+    void endServer(Run &run)
+    {
+        run.record["ended"] = "server ended";
+        for (const auto &server : m_servers) {
+            if (server->instance == run.instance)
+                event_active(server->end.get(), EV_TIMEOUT, 0);
+        }
+    }
+
     static void onRequest(evhttp_request *request, void *server)
     {
         auto *receiver = static_cast<Server *>(server);
@@ -424,6 +441,10 @@
         evhttp_request *request = run.request;
         if (run.behaviour == "silent")
             return;
+        if (run.behaviour == "end-server") {
+            run.servers->endServer(run);
+            return;
+        }
         const bool isFirst = !run.record.contains("begun");
         if (isFirst) {
             run.record["begun"] = run.nextEvent;
--- a/test/ForwardTest.cpp
+++ b/test/ForwardTest.cpp
@@ -377,6 +377,9 @@
         fixture.system.onWritten(first.attempt);
         fixture.events(first.attempt);
         fixture.fail(first.attempt, AttemptFailure::Broken);
+        fixture.system.onServerRunChecked(fixture.now, fixture.last<CheckServerRun>().run,
+                                          ServerRunState::Running);
+        fixture.collectEffects();
         const auto second = fixture.last<StartForward>();
         REQUIRE(second.attempt != first.attempt);
         fixture.system.onWritten(second.attempt);
--- a/test/PeerCodecTest.cpp
+++ b/test/PeerCodecTest.cpp
@@ -101,6 +101,10 @@
         ActivePlacements{ ServiceId{ 18 },
                           1,
                           { { AttemptId{ 31 }, BackendServerId{ 17 }, 200, 410, 3, 600ms } } },
+        SegmentReports{ { SegmentReport{ 41, { { ServerRunId{ 42 }, 300ms } }, 700ms },
+                          SegmentReport{ 43, {}, std::nullopt } },
+                        44,
+                        true },
     };
 }
 
--- a/test/process/test_forward.py
+++ b/test/process/test_forward.py
@@ -1,5 +1,6 @@
 """Tests of published routes as callers and backend servers see them, with real daemons and a stand-in site."""
 
+import http.client
 import json
 import os
 import random
@@ -44,12 +45,12 @@
 class ForwardSite:
     """Stand-in site and daemons. close() ends every process by its id."""
 
-    def __init__(self, hosts=1):
+    def __init__(self, hosts=1, engines=2):
         self.directory = tempfile.mkdtemp(prefix="currantreel-forward-")
         self.net = "127.%d.%d" % (random.randint(20, 219), random.randint(1, 250))
         self.store = self.net + ".250:9300"
-        self.servers = {"e-1": self.net + ".1:9401", "e-2": self.net + ".2:9401",
-                        "l-1": self.net + ".1:9402", "l-2": self.net + ".2:9402"}
+        self.servers = {"e-%d" % number: "%s.%d:9401" % (self.net, number) for number in range(1, engines + 1)}
+        self.servers.update({"l-1": self.net + ".1:9402", "l-2": self.net + ".2:9402"})
         self.processes = {}
         self.ids = 0
         listed = ",".join("%s=%s" % item for item in self.servers.items())
@@ -426,6 +427,39 @@
         self.assertEqual(self.site.call("/new/x")[0].status, 200)
 
 
+class ServersThatEnd(unittest.TestCase):
+    HOSTS = 2
+    ENGINES = 9
+    MAX_ENDED = 5
+
+    def setUp(self):
+        self.site = ForwardSite(hosts=self.HOSTS, engines=self.ENGINES)
+        self.addCleanup(self.site.close)
+
+    def stream(self, host, prompt, **more):
+        return self.site.call("/stream/a", host=host, X_Prefix_Hash=prompt, X_Token_Counts="160,20", **more)[0]
+
+    def ended(self):
+        return [run for run in self.site.control("seen") if run["ended"] == "server ended"]
+
+    def test_requests_with_one_segment_do_not_end_one_server_after_the_other(self):
+        for number in range(24):
+            host = 1 + number % self.HOSTS
+            try:
+                self.stream(host, "5e5:100,bad:50,%x:10" % (0x1000 + number), X_Test="end-server")
+            except (OSError, http.client.HTTPException):
+                pass
+            time.sleep(0.15)
+        self.assertGreaterEqual(len(self.ended()), 1)
+        self.assertLessEqual(len(self.ended()), self.MAX_ENDED)
+        for host in range(1, self.HOSTS + 1):
+            self.assertEqual(self.stream(host, "5e5:100,90:50,%x:10" % (0x2000 + host)).status, 200)
+            refusal = self.stream(host, "5e5:100,bad:50,%x:10" % (0x3000 + host), X_Test="end-server")
+            self.assertEqual(refusal.status, 503)
+            self.assertEqual(refusal.error_code(), 4012)
+            self.assertGreater(float(refusal.headers["Retry-After"]), 60.0)
+
+
 class EndlessServer:
     """Backend server that answers each request with `start` and then repeats `part` until the peer closes."""
 
