Operators list quarantined segments and end a quarantine, by interface and tool

GET /v1/quarantine lists the segments with their evidence, DELETE /v1/quarantine/SEGMENT ends a quarantine on all hosts, currantreel quarantine list|clear does both. Unknown segments are refused with 3013. Metrics: segments, checked and ended runs. The tool reports errors of its commands by one function.

--- a/apps/ToolCommands.cpp
+++ b/apps/ToolCommands.cpp
@@ -2,6 +2,7 @@
 
 #include "ToolConfig.h"
 #include "ToolHttp.h"
+#include "ToolQuarantine.h"
 #include "ToolReplay.h"
 #include "ToolReport.h"
 #include <algorithm>
@@ -56,12 +57,8 @@
     const nlohmann::json status = isError(answer)
                                       ? nlohmann::json()
                                       : nlohmann::json::parse(value(answer).body, nullptr, false);
-    if (!status.is_object()) {
-        fmt::print(stderr, "{}: unreachable ({} {})\n", host,
-                   number(ResultCode::ToolHostUnreachable),
-                   info(ResultCode::ToolHostUnreachable).remedy);
-        return exitUnreachable;
-    }
+    if (!status.is_object())
+        return report(Error{ ResultCode::ToolHostUnreachable, host }, exitUnreachable);
     printStatus(status);
     return exitOk;
 }
@@ -97,6 +94,8 @@
         return config(arguments);
     if (command == "status")
         return status(arguments);
+    if (command == "quarantine")
+        return quarantine(arguments);
     if (command == "replay")
         return replay(arguments);
     if (command == "codes")
--- a/apps/ToolHttp.cpp
+++ b/apps/ToolHttp.cpp
@@ -4,13 +4,17 @@
 
 namespace currantreel::tool {
 
-Result<HttpAnswer> httpGet(const Address &address, const std::string &path, Duration timeout)
+namespace {
+
+Result<HttpAnswer> send(evhttp_cmd_type method, const Address &address, const std::string &path,
+                        Duration timeout)
 {
     const EventBaseHandle base(event_base_new());
     HttpAnswer answer;
     bool isComplete = false;
     OutgoingRequest request;
     request.address = address;
+    request.method = method;
     request.path = path;
     request.inactivityTimeout = timeout;
     OutgoingCallbacks callbacks;
@@ -32,4 +36,16 @@
     return answer;
 }
 
+} // namespace
+
+Result<HttpAnswer> httpGet(const Address &address, const std::string &path, Duration timeout)
+{
+    return send(EVHTTP_REQ_GET, address, path, timeout);
+}
+
+Result<HttpAnswer> httpDelete(const Address &address, const std::string &path, Duration timeout)
+{
+    return send(EVHTTP_REQ_DELETE, address, path, timeout);
+}
+
 } // namespace currantreel::tool
--- a/apps/ToolHttp.h
+++ b/apps/ToolHttp.h
@@ -7,7 +7,7 @@
 
 namespace currantreel::tool {
 
-/// Complete response to an HTTP GET.
+/// Complete response to an HTTP request.
 struct HttpAnswer
 {
     int status = 0;
@@ -20,6 +20,10 @@
 [[nodiscard]] Result<HttpAnswer> httpGet(const Address &address, const std::string &path,
                                          Duration timeout);
 
+/// As httpGet(), but sends a DELETE.
+[[nodiscard]] Result<HttpAnswer> httpDelete(const Address &address, const std::string &path,
+                                            Duration timeout);
+
 } // namespace currantreel::tool
 
 #endif
--- a/apps/currantreel.cpp
+++ b/apps/currantreel.cpp
@@ -27,6 +27,8 @@
     "  config wait VERSION HOST...      wait until the hosts have the version in force\n"
     "  config audit SOURCE              list the verdicts on patches\n"
     "  status HOST...                   show the status of hosts at operator addresses\n"
+    "  quarantine list HOST             list the quarantined prompt segments of a host\n"
+    "  quarantine clear HOST SEGMENT    end the quarantine of a segment on all hosts\n"
     "  replay TRACE                     replay a trace in virtual time; --expect, --policy, "
     "--seed, --compare\n"
     "  codes                            list the numbered result codes";
--- a/currantreel/src/Core/ResultCode.h
+++ b/currantreel/src/Core/ResultCode.h
@@ -48,6 +48,7 @@
     RequestUnknownRoute = 3010,
     RequestUnknownKey = 3011,
     RequestBadHead = 3012,
+    SegmentNotQuarantined = 3013,
 
     QueueFull = 4001,
     TargetUnreachable = 4002,
@@ -162,6 +163,8 @@
                     "send a key of a workspace of the configuration" },
     ResultCodeInfo{ ResultCode::RequestBadHead, "request_bad_head", 400,
                     "send one Host and an unambiguous length; the detail says what is wrong" },
+    ResultCodeInfo{ ResultCode::SegmentNotQuarantined, "segment_not_quarantined", 404,
+                    "name a segment that quarantine list shows, as it shows it" },
     ResultCodeInfo{ ResultCode::QueueFull, "queue_full", 503, "retry after the time given" },
     ResultCodeInfo{ ResultCode::TargetUnreachable, "target_unreachable", 503,
                     "retry after the time given: the answer would have come too late" },
--- a/currantreel/src/Forward/ForwardQuarantine.cpp
+++ b/currantreel/src/Forward/ForwardQuarantine.cpp
@@ -24,8 +24,10 @@
     const auto [check, isNew] = m_checkedRuns.try_emplace(server.run());
     std::vector<std::uint64_t> &segments = check->second;
     segments.insert(segments.end(), call.sharedSegments.begin(), call.sharedSegments.end());
-    if (isNew)
-        m_effects.emplace_back(CheckServerRun{ server.run(), server.announced.address });
+    if (!isNew)
+        return;
+    ++m_counters.serverRunsChecked;
+    m_effects.emplace_back(CheckServerRun{ server.run(), server.announced.address });
 }
 
 void ForwardSystem::holdUntilChecked(TimePoint now, Call &call, ServerRunId run)
@@ -44,8 +46,10 @@
     const auto found = m_checkedRuns.find(run);
     if (found == m_checkedRuns.end())
         return;
-    if (state == ServerRunState::Ended)
+    if (state == ServerRunState::Ended) {
+        ++m_counters.serverRunsEnded;
         m_quarantine.recordEnd(now, run, found->second);
+    }
     m_checkedRuns.erase(found);
     for (Call &call : m_calls) {
         if (call.checkedRun != run)
--- a/currantreel/src/Quarantine/SegmentQuarantine.cpp
+++ b/currantreel/src/Quarantine/SegmentQuarantine.cpp
@@ -128,11 +128,13 @@
 bool SegmentQuarantine::isExplained(TimePoint now, const Entry &entry,
                                     std::span<const std::uint64_t> segments) const
 {
+    const auto explains = [&entry](const Entry &other) {
+        return std::all_of(entry.ends.begin(), entry.ends.end(),
+                           [&other](const auto &end) { return other.ends.contains(end.first); });
+    };
     return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto &candidate) {
-        const auto &[segment, other] = candidate;
-        const auto hasEnd = [&](const auto &end) { return other.ends.contains(end.first); };
-        return !contains(segments, segment) && isQuarantined(now, other)
-               && std::all_of(entry.ends.begin(), entry.ends.end(), hasEnd);
+        return !contains(segments, candidate.first) && isQuarantined(now, candidate.second)
+               && explains(candidate.second);
     });
 }
 
--- a/currantreel/src/Shell/DecisionLog.cpp
+++ b/currantreel/src/Shell/DecisionLog.cpp
@@ -69,9 +69,14 @@
 
 } // namespace
 
+std::string hexOf(std::uint64_t identifier)
+{
+    return fmt::format("{:x}", identifier);
+}
+
 std::string hexOf(HostId host)
 {
-    return fmt::format("{:x}", host.value);
+    return hexOf(host.value);
 }
 
 void writeDecision(const Log &log, const DecisionRecord &decision)
@@ -136,14 +141,14 @@
 
 void writeServerRun(const Log &log, ServerRunId run, ServerRunState state)
 {
-    log.write("server_run_checked", { { "run", fmt::format("{:x}", run.value) },
-                                      { "state", std::string(nameOf(state)) } });
+    log.write("server_run_checked",
+              { { "run", hexOf(run.value) }, { "state", std::string(nameOf(state)) } });
 }
 
 void writeQuarantine(const Log &log, const SegmentQuarantine::Change &change)
 {
     log.write(nameOf(change.belief),
-              { { "segment", fmt::format("{:x}", change.segment) },
+              { { "segment", hexOf(change.segment) },
                 { "ends", std::to_string(change.ends) },
                 { "spread_ms", std::to_string(toMilliseconds(change.spread)) },
                 { "was_sound", change.wasSound ? "true" : "false" } });
--- a/currantreel/src/Shell/DecisionLog.h
+++ b/currantreel/src/Shell/DecisionLog.h
@@ -8,7 +8,8 @@
 
 namespace currantreel {
 
-/// Identifier of @p host as it is written in log lines, in hexadecimal.
+/// Identifiers as they are written in log lines, in hexadecimal.
+[[nodiscard]] std::string hexOf(std::uint64_t identifier);
 [[nodiscard]] std::string hexOf(HostId host);
 
 /// Logs a decision on a request.
--- a/currantreel/src/Shell/ForwardDaemon.cpp
+++ b/currantreel/src/Shell/ForwardDaemon.cpp
@@ -130,7 +130,8 @@
           [this](Event event) { onPeerEvent(std::move(event)); }),
       m_operators(
           m_base.get(), m_settings, m_log, m_system, [this] { return isReady(); },
-          [this] { return reportPublishedState(); }),
+          [this] { return reportPublishedState(); },
+          [this](std::uint64_t segment) { return clearSegment(segment); }),
       m_tick(event_new(m_base.get(), -1, EV_PERSIST, &ForwardDaemon::onTick, this)),
       m_sweep(event_new(m_base.get(), -1, 0, &ForwardDaemon::onSweep, this)),
       m_terminate(evsignal_new(m_base.get(), SIGTERM, &ForwardDaemon::onTerminate, this)),
--- a/currantreel/src/Shell/ForwardDaemon.h
+++ b/currantreel/src/Shell/ForwardDaemon.h
@@ -71,6 +71,7 @@
     void grantQueued(TimePoint now);
     void sendFleet(TimePoint now);
     void runQuarantine(TimePoint now);
+    bool clearSegment(std::uint64_t segment);
     void onServerRunChecked(ServerRunId run, ServerRunState state);
     [[nodiscard]] FleetHost describeSelf() const;
     void onStoreFailed(ReadFailure failure, const std::string &detail);
--- a/currantreel/src/Shell/ForwardDaemonQuarantine.cpp
+++ b/currantreel/src/Shell/ForwardDaemonQuarantine.cpp
@@ -32,6 +32,16 @@
     runQuarantine(now);
 }
 
+bool ForwardDaemon::clearSegment(std::uint64_t segment)
+{
+    const TimePoint now = steadyNow();
+    if (!m_system.quarantine().clear(now, segment))
+        return false;
+    m_log.write("segment_cleared_by_operator", { { "segment", hexOf(segment) } });
+    runQuarantine(now);
+    return true;
+}
+
 void ForwardDaemon::runQuarantine(TimePoint now)
 {
     SegmentQuarantine &quarantine = m_system.quarantine();
--- a/currantreel/src/Shell/ForwardOperatorHttpServer.cpp
+++ b/currantreel/src/Shell/ForwardOperatorHttpServer.cpp
@@ -1,6 +1,8 @@
 #include "ForwardOperatorHttpServer.h"
 
+#include "../Core/ParseNumber.h"
 #include "HttpReply.h"
+#include "SteadyNow.h"
 #include <fmt/format.h>
 #include <iterator>
 #include <nlohmann/json.hpp>
@@ -12,17 +14,21 @@
 constexpr int statusOk = 200;
 constexpr int statusUnavailable = 503;
 constexpr std::string_view metricsText = "text/plain; version=0.0.4";
+constexpr std::string_view quarantinePath = "/v1/quarantine";
+constexpr int hexadecimal = 16;
 
 } // namespace
 
 ForwardOperatorHttpServer::ForwardOperatorHttpServer(
     event_base *base, const HostSettings &settings, const Log &log, const ForwardSystem &system,
-    std::function<bool()> isReady, std::function<PublishedStateReport()> publishedState)
+    std::function<bool()> isReady, std::function<PublishedStateReport()> publishedState,
+    std::function<bool(std::uint64_t)> clearSegment)
     : m_settings(&settings),
       m_log(&log),
       m_system(&system),
       m_isReady(std::move(isReady)),
       m_publishedState(std::move(publishedState)),
+      m_clearSegment(std::move(clearSegment)),
       m_server(evhttp_new(base))
 {
     evhttp_set_gencb(m_server.get(), &ForwardOperatorHttpServer::onRequest, this);
@@ -50,12 +56,44 @@
         sendReply(request, statusOk, jsonType, R"({"healthy":true})");
     else if (path == "/v1/status")
         sendReply(request, statusOk, jsonType, statusBody());
+    else if (path == quarantinePath)
+        sendReply(request, statusOk, jsonType, quarantineBody());
+    else if (path.starts_with(quarantinePath))
+        replyToClear(request, std::string_view(path).substr(quarantinePath.size()));
     else if (path == "/metrics")
         sendReply(request, statusOk, metricsText, metricsBody());
     else
         sendError(request, ResultCode::RequestUnknownPath, Outcome::NotRun, {}, path);
 }
 
+void ForwardOperatorHttpServer::replyToClear(evhttp_request *request, std::string_view segment)
+{
+    if (evhttp_request_get_command(request) != EVHTTP_REQ_DELETE) {
+        sendError(request, ResultCode::RequestWrongMethod, Outcome::NotRun, {});
+        return;
+    }
+    const std::string_view digits = segment.starts_with('/') ? segment.substr(1) : segment;
+    const auto id = parseNumber(digits, hexadecimal);
+    if (!id || !m_clearSegment(*id)) {
+        sendError(request, ResultCode::SegmentNotQuarantined, Outcome::NotRun, {});
+        return;
+    }
+    sendReply(request, statusOk, jsonType, R"({"cleared":true})");
+}
+
+std::string ForwardOperatorHttpServer::quarantineBody() const
+{
+    nlohmann::json segments = nlohmann::json::array();
+    for (const SegmentQuarantine::Listing &entry : m_system->quarantine().listing(steadyNow())) {
+        segments.push_back({ { "segment", fmt::format("{:x}", entry.evidence.segment) },
+                             { "ends", entry.evidence.ends },
+                             { "spread_ms", toMilliseconds(entry.evidence.spread) },
+                             { "was_sound", entry.evidence.wasSound },
+                             { "time_left_ms", toMilliseconds(entry.timeLeft) } });
+    }
+    return nlohmann::json{ { "host", m_settings->name }, { "segments", segments } }.dump();
+}
+
 std::string ForwardOperatorHttpServer::statusBody() const
 {
     nlohmann::json status;
@@ -106,6 +144,8 @@
     counter("currantreel_published_requests_total", published.itemRequests);
     counter("currantreel_published_requests_unanswered_total", published.itemRequestsUnanswered);
     counter("currantreel_platform_checks_total", published.platformChecks);
+    counter("currantreel_server_runs_checked_total", counters.serverRunsChecked);
+    counter("currantreel_server_runs_ended_total", counters.serverRunsEnded);
     counter("currantreel_log_lines_dropped_total", m_log->dropped());
     counters.firstEvents.append(text, "currantreel_first_event_seconds");
     counters.pauses.append(text, "currantreel_pause_seconds");
@@ -113,6 +153,7 @@
     gauge("currantreel_requests_queued", m_system->queued());
     gauge("currantreel_backend_servers", m_system->directory().size());
     gauge("currantreel_configuration_version", m_system->routes().version());
+    gauge("currantreel_quarantined_segments", m_system->quarantine().quarantined(steadyNow()));
     gauge("currantreel_published_revision", published.revision);
     gauge("currantreel_published_age_milliseconds",
           static_cast<std::uint64_t>(toMilliseconds(published.age)));
--- a/currantreel/src/Shell/ForwardOperatorHttpServer.h
+++ b/currantreel/src/Shell/ForwardOperatorHttpServer.h
@@ -26,9 +26,11 @@
 class ForwardOperatorHttpServer
 {
 public:
+    /// @param clearSegment ends the quarantine of a prompt segment; false if it is not quarantined.
     ForwardOperatorHttpServer(event_base *base, const HostSettings &settings, const Log &log,
                               const ForwardSystem &system, std::function<bool()> isReady,
-                              std::function<PublishedStateReport()> publishedState);
+                              std::function<PublishedStateReport()> publishedState,
+                              std::function<bool(std::uint64_t)> clearSegment);
 
     /// Starts listening. Returns false if the address cannot be bound.
     [[nodiscard]] bool listen();
@@ -36,6 +38,8 @@
 private:
     static void onRequest(evhttp_request *request, void *self);
     void reply(evhttp_request *request);
+    void replyToClear(evhttp_request *request, std::string_view segment);
+    [[nodiscard]] std::string quarantineBody() const;
     [[nodiscard]] std::string statusBody() const;
     [[nodiscard]] std::string metricsBody() const;
 
@@ -44,6 +48,7 @@
     const ForwardSystem *m_system;
     std::function<bool()> m_isReady;
     std::function<PublishedStateReport()> m_publishedState;
+    std::function<bool(std::uint64_t)> m_clearSegment;
     HttpServerHandle m_server;
 };
 
--- a/test/process/test_forward.py
+++ b/test/process/test_forward.py
@@ -459,6 +459,29 @@
             self.assertEqual(refusal.error_code(), 4012)
             self.assertGreater(float(refusal.headers["Retry-After"]), 60.0)
 
+    def test_an_operator_lists_and_clears_what_is_quarantined(self):
+        def tool(*arguments):
+            return subprocess.run([os.path.join(BUILD, "currantreel"), "quarantine", *arguments],
+                                  capture_output=True, text=True, timeout=30, check=False)
+
+        first, second = (self.site.host_address(host, 8749) for host in (1, 2))
+        self.assertEqual(tool("list", first).stdout, "")
+        while "bad " not in tool("list", second).stdout:
+            try:
+                self.stream(1, "bad:50,%x:10" % (0x1000 + self.site.ids), X_Test="end-server")
+            except (OSError, http.client.HTTPException):
+                pass
+            self.assertLess(self.site.ids, 24)
+            time.sleep(0.15)
+        self.assertEqual(self.stream(2, "bad:50,1:10").status, 503)
+        unknown = tool("clear", first, "90")
+        self.assertEqual(unknown.returncode, 1)
+        self.assertIn("segment_not_quarantined", unknown.stderr)
+        self.assertEqual(request(first, "POST", "/v1/quarantine/bad").status, 405)
+        self.assertEqual(tool("clear", first, "bad").returncode, 0)
+        wait_until(lambda: self.stream(2, "bad:50,2:10").status == 200, "the other host sends such requests again")
+        self.assertEqual(tool("list", second).stdout, "")
+
 
 class EndlessServer:
     """Backend server that answers each request with `start` and then repeats `part` until the peer closes."""
