Late in a planned stop only requests that will be complete in time are taken, and what is left is answered

Change: once a stop has begun, a request is refused as not run (503, Connection: close) unless its time limit, or the longest time that requests of its route took in the last half minute, ends before the grace time does. Half a second before the end, requests that are left are answered: 502 if they may have run, 503 if not; streams that have begun are broken off.

Seen to fail before: test_requests_late_in_a_planned_stop_are_answered_before_the_process_ends, on the daemon of exit status 4, requests were cut off.

--- a/currantreel/src/Forward/ForwardAttempts.cpp
+++ b/currantreel/src/Forward/ForwardAttempts.cpp
@@ -276,6 +276,7 @@
 void ForwardSystem::finish(TimePoint now, Call &call, const AnswerStatus &answer)
 {
     ++m_counters.completed;
+    m_durations.add(now, call.route->name, now - call.arrivedAt);
     m_counters.firstEvents.add(call.hasBegun ? call.firstEvent : now - call.arrivedAt);
     if (call.hasBegun)
         m_counters.pauses.add(call.maxPause);
@@ -364,16 +365,33 @@
     dispatchQueued(now);
 }
 
-void ForwardSystem::run(TimePoint now)
+void ForwardSystem::endAll(TimePoint now)
+{
+    for (const RequestId id : callIds()) {
+        Call *call = m_calls.find(id);
+        if (!call)
+            continue;
+        if (call->isWritten && call->attempt.isValid())
+            call->mayHaveRun = true;
+        refuseOrAbort(now, *call, ResultCode::Stopping);
+    }
+}
+
+std::vector<RequestId> ForwardSystem::callIds() const
 {
-    m_quarantine.run(now);
-    checkOwners(now);
-    dispatchQueued(now);
     std::vector<RequestId> ids;
     ids.reserve(m_calls.size());
     for (const Call &call : m_calls)
         ids.push_back(call.id);
-    for (const RequestId id : ids) {
+    return ids;
+}
+
+void ForwardSystem::run(TimePoint now)
+{
+    m_quarantine.run(now);
+    checkOwners(now);
+    dispatchQueued(now);
+    for (const RequestId id : callIds()) {
         if (Call *call = m_calls.find(id))
             checkCall(now, *call);
     }
--- a/currantreel/src/Forward/ForwardQuarantine.cpp
+++ b/currantreel/src/Forward/ForwardQuarantine.cpp
@@ -92,10 +92,7 @@
 {
     if (m_quarantine.digest(now) == 0)
         return;
-    std::vector<RequestId> ids;
-    for (const Call &call : m_calls)
-        ids.push_back(call.id);
-    for (const RequestId id : ids) {
+    for (const RequestId id : callIds()) {
         if (Call *call = m_calls.find(id))
             static_cast<void>(refuseIfQuarantined(now, *call));
     }
--- a/currantreel/src/Forward/ForwardSystem.cpp
+++ b/currantreel/src/Forward/ForwardSystem.cpp
@@ -114,12 +114,25 @@
     return true;
 }
 
+bool ForwardSystem::fitsBeforeStop(TimePoint now, const Call &call) const
+{
+    if (!m_stopEndAt)
+        return true;
+    const Duration limit = call.endAt - now;
+    const Duration longest = m_durations.longest(now, call.route->name).value_or(limit);
+    return now + std::min(limit, longest) <= *m_stopEndAt;
+}
+
 void ForwardSystem::onArrived(TimePoint now, const CallArrived &event)
 {
     ++m_counters.arrived;
     Call call;
     if (!admit(now, event, call))
         return;
+    if (!fitsBeforeStop(now, call)) {
+        refuseArrival(event, ResultCode::Stopping, timing::defaultRetryAfter);
+        return;
+    }
     if (const auto timeLeft = m_quarantine.quarantineOf(now, call.sharedSegments)) {
         refuseArrival(event, ResultCode::RequestQuarantined, *timeLeft);
         return;
--- a/currantreel/src/Forward/ForwardSystem.h
+++ b/currantreel/src/Forward/ForwardSystem.h
@@ -8,6 +8,7 @@
 #include "ForwardMessages.h"
 #include "QueuePosition.h"
 #include "RetryBudget.h"
+#include "RouteDurations.h"
 #include "RouteTable.h"
 #include "ServerDirectory.h"
 #include "ServerPlacement.h"
@@ -67,6 +68,12 @@
     /// A configuration was received. Returns whether it came into force.
     bool onConfiguration(std::shared_ptr<const RouteConfiguration> configuration);
 
+    /// Starts a graceful shutdown: a request that arrives from now on is refused if it would
+    /// probably not be complete at @p endAt.
+    void beginStop(TimePoint endAt) { m_stopEndAt = endAt; }
+    /// Answers or aborts all requests, at the end of a graceful shutdown.
+    void endAll(TimePoint now);
+
     /// Periodic work: ends requests past their deadline, gives up on unresponsive servers,
     /// dispatches queued requests and sends updates to owners.
     void run(TimePoint now);
@@ -145,6 +152,7 @@
         std::vector<BackendServerId> tried; ///< Servers of earlier attempts.
     };
 
+    [[nodiscard]] bool fitsBeforeStop(TimePoint now, const Call &call) const;
     [[nodiscard]] bool admit(TimePoint now, const CallArrived &event, Call &call);
     void refuseArrival(const CallArrived &event, ResultCode code, Duration retryAfter);
     [[nodiscard]] Call *callOf(AttemptId attempt);
@@ -199,6 +207,8 @@
     [[nodiscard]] bool isHeld(TimePoint now, const Call &call) const;
     [[nodiscard]] bool refuseIfQuarantined(TimePoint now, Call &call);
     void refuseQuarantined(TimePoint now);
+    /// Identifiers of all requests, so that some may be removed while they are gone through.
+    [[nodiscard]] std::vector<RequestId> callIds() const;
     void addFailureRecord(TimePoint now, const Call &call, AttemptFailure failure);
 
     /// Partition of a service's servers.
@@ -236,6 +246,8 @@
     std::unordered_map<AttemptId, RequestId> m_attempts;
     std::map<ServiceId, std::set<Position>> m_queues;
     std::uint64_t m_nextAttempt = 1;
+    RouteDurations m_durations;
+    std::optional<TimePoint> m_stopEndAt; ///< End of the graceful shutdown, if there is one.
     ForwardCounters m_counters;
     std::vector<ForwardEffect> m_effects;
 };
--- a/currantreel/src/Shell/ForwardDaemon.cpp
+++ b/currantreel/src/Shell/ForwardDaemon.cpp
@@ -37,7 +37,9 @@
 /// Time after the start of a graceful shutdown at which connections are no longer accepted, even if
 /// requests still arrive.
 constexpr Duration maxStopAcceptTime = 5s;
-/// Time before the end of the grace time at which the remaining requests are cut off.
+/// Time before the end of the grace time at which the remaining requests are answered as not
+/// completed, and at which the process ends even if replies are not sent completely.
+constexpr Duration finalAnswerMargin = 500ms;
 constexpr Duration forcedStopMargin = 300ms;
 
 /// Upper bound of the heartbeats of a host per second. Counters start from the wall clock in these
@@ -253,6 +255,7 @@
     m_isStopping = true;
     m_stopStarted = steadyNow();
     m_callers.beginStop();
+    m_system.beginStop(m_stopStarted + m_settings.stopGrace - finalAnswerMargin);
     m_log.write("stopping", { { "requests_in_progress", std::to_string(m_callers.exchanges()) } });
 }
 
@@ -265,6 +268,11 @@
         m_callers.refuseNewRequests();
         m_acceptEndedAt = time;
     }
+    if (since >= m_settings.stopGrace - finalAnswerMargin) {
+        m_callers.refuseNewRequests();
+        m_system.endAll(time);
+        applyEffects();
+    }
     const bool isDone = !m_callers.isAccepting() && isQuiet
                         && time - m_acceptEndedAt >= stopQuietTime && !m_callers.isBusy();
     if (isDone || since >= m_settings.stopGrace - forcedStopMargin)
--- a/test/process/test_forward.py
+++ b/test/process/test_forward.py
@@ -746,6 +746,33 @@
             is_over.set()
             site.close()
 
+    def test_requests_late_in_a_planned_stop_are_answered_before_the_process_ends(self):
+        site = ForwardSite(hosts=1)
+        connections = []
+
+        def send(path, behaviour):
+            connections.append(open_socket(site.host_address(1, 8740)))
+            headers = {**site.headers(X_Test=behaviour), "X-Timeout-Ms": 5000}
+            text = "".join("%s: %s\r\n" % item for item in headers.items())
+            connections[-1].sendall(("POST %s HTTP/1.1\r\n%sContent-Length: 0\r\n\r\n" % (path, text)).encode())
+
+        try:
+            self.assertEqual(site.call("/pay/x")[0].status, 200)
+            stopped_at = time.monotonic()
+            site.processes["host-1"].send_signal(signal.SIGTERM)
+            while time.monotonic() < stopped_at + 4.0:
+                site.call("/pay/x")  # while requests come the host takes connections
+                time.sleep(0.1)
+            for behaviour in ("silent", "", "silent"):
+                send("/stream/once/x", behaviour)
+                send("/pay/x", "")
+            self.assertEqual(site.processes["host-1"].wait(timeout=30), 0)
+            for connection in connections:
+                self.assertEqual(connection.recv(65536)[:9], b"HTTP/1.1 ")
+                connection.close()
+        finally:
+            site.close()
+
     def test_a_host_that_starts_while_the_store_is_down_gets_all_from_its_peers(self):
         site = ForwardSite(hosts=1)
         try:
