Hosts that start learn of quarantined segments from every host that sends them an update

Cause: a host compared digests with one other host in 500 ms, whichever came first; hosts that start all report to the few seeds at once. The limit is one comparison in 500 ms with each host now.

--- a/currantreel/src/Fleet/QuarantineSpread.cpp
+++ b/currantreel/src/Fleet/QuarantineSpread.cpp
@@ -6,7 +6,7 @@
 
 using namespace std::chrono_literals;
 
-/// Minimum time between two announcements, and between two requests to hosts with another digest.
+/// Minimum time between two announcements, and between two requests to one host with another digest.
 constexpr Duration minAnnounceInterval = 50ms;
 constexpr Duration minCompareInterval = 500ms;
 
@@ -25,10 +25,13 @@
 void QuarantineSpread::onUpdate(TimePoint now, HostId from, std::uint64_t digest,
                                 const SegmentQuarantine &quarantine)
 {
-    if (digest == quarantine.digest(now) || now - m_comparedAt < minCompareInterval)
+    if (digest == quarantine.digest(now))
         return;
-    m_comparedAt = now;
-    add(now, from, true, quarantine);
+    std::erase_if(m_comparedAt, [now](const auto &compared) {
+        return now - compared.second >= minCompareInterval;
+    });
+    if (m_comparedAt.try_emplace(from, now).second)
+        add(now, from, true, quarantine);
 }
 
 void QuarantineSpread::onReports(TimePoint now, HostId from, const SegmentReports &reports,
--- a/currantreel/src/Fleet/QuarantineSpread.h
+++ b/currantreel/src/Fleet/QuarantineSpread.h
@@ -43,7 +43,8 @@
 
     std::vector<Answer> m_answers;
     TimePoint m_announcedAt;
-    TimePoint m_comparedAt; ///< When reports were last requested because of a different digest.
+    /// When hosts with another digest were last asked for their reports; only the latest times.
+    std::map<HostId, TimePoint> m_comparedAt;
 };
 
 } // namespace currantreel
--- a/test/QuarantineSpreadTest.cpp
+++ b/test/QuarantineSpreadTest.cpp
@@ -286,3 +286,26 @@
         CHECK(deployment.quarantining() == 0);
     }
 }
+
+TEST_CASE(
+    "hosts that start while requests with a quarantined segment come learn of it within a second")
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        constexpr std::size_t hosts = 60;
+        constexpr std::size_t started = 20;
+        Deployment deployment(hosts, seed);
+        deployment.setRates(6.0, 30.0);
+        deployment.advance(5s);
+        REQUIRE(deployment.quarantining() == hosts);
+        deployment.setRates(0.0, 30.0);
+        for (std::size_t host = 0; host < started; ++host)
+            deployment.addHost(hosts + host, seed * 100 + host);
+        Duration waited{};
+        while (deployment.quarantining() < hosts + started && waited < 5s) {
+            deployment.advance(50ms);
+            waited += 50ms;
+        }
+        MESSAGE("seed " << seed << ": " << toMilliseconds(waited) << " ms");
+        CHECK(waited <= 1s);
+    }
+}
