--- a/test/ForwardQuarantineTest.cpp
+++ b/test/ForwardQuarantineTest.cpp
@@ -20,7 +20,7 @@
     StartForward endServer(const std::string &path = "/gate/1")
     {
         call(path, "key", promptOf(culprit, 100, 10, ++m_nextOwn));
-        const auto start = last<StartForward>();
+        auto start = last<StartForward>();
         advance(100ms);
         fail(start.attempt, AttemptFailure::Broken);
         check(ServerRunState::Ended);
--- a/test/QuarantineSpreadTest.cpp
+++ b/test/QuarantineSpreadTest.cpp
@@ -189,11 +189,11 @@
         }
     }
 
-    void deliver(Node &from, HostId to, std::variant<FleetUpdate, SegmentReports> message)
+    void deliver(Node &from, HostId to, const std::variant<FleetUpdate, SegmentReports> &message)
     {
         for (const auto &node : m_nodes) {
             if (node->id == to && node->group == from.group)
-                m_arrivals.push_back({ m_now + latency, &from, node.get(), std::move(message) });
+                m_arrivals.push_back({ m_now + latency, &from, node.get(), message });
         }
     }
 
