Late in a planned stop only a time limit that fits lets a request be taken

How long others took is no bound, so it counts only for the first 3 s, while callers are still sent to the host; after that a request is taken if its time limit fits.

--- a/currantreel/src/Forward/ForwardSystem.cpp
+++ b/currantreel/src/Forward/ForwardSystem.cpp
@@ -116,11 +116,14 @@
 
 bool ForwardSystem::fitsBeforeStop(TimePoint now, const Call &call) const
 {
-    if (!m_stopEndAt)
+    if (!m_stop)
         return true;
     const Duration limit = call.endAt - now;
+    // While callers are still sent here, most requests are better taken than refused.
+    const bool isEarly = now - m_stop->startedAt < timing::stopAcceptTime;
     const Duration longest = m_durations.longest(now, call.route->name).value_or(limit);
-    return now + std::min(limit, longest) <= *m_stopEndAt;
+    const Duration expected = isEarly ? std::min(limit, longest) : limit;
+    return now + expected <= m_stop->endAt;
 }
 
 void ForwardSystem::onArrived(TimePoint now, const CallArrived &event)
--- a/currantreel/src/Forward/ForwardSystem.h
+++ b/currantreel/src/Forward/ForwardSystem.h
@@ -68,9 +68,9 @@
     /// A configuration was received. Returns whether it came into force.
     bool onConfiguration(std::shared_ptr<const RouteConfiguration> configuration);
 
-    /// Starts a graceful shutdown: a request that arrives from now on is refused if it would
-    /// probably not be complete at @p endAt.
-    void beginStop(TimePoint endAt) { m_stopEndAt = endAt; }
+    /// Starts a graceful shutdown that ends at @p endAt: a request that arrives from now on is
+    /// refused if it would probably not be complete by then, and later if it is not sure to be.
+    void beginStop(TimePoint now, TimePoint endAt) { m_stop = StopTimes{ now, endAt }; }
     /// Answers or aborts all requests, at the end of a graceful shutdown.
     void endAll(TimePoint now);
 
@@ -152,6 +152,12 @@
         std::vector<BackendServerId> tried; ///< Servers of earlier attempts.
     };
 
+    struct StopTimes
+    {
+        TimePoint startedAt;
+        TimePoint endAt;
+    };
+
     [[nodiscard]] bool fitsBeforeStop(TimePoint now, const Call &call) const;
     [[nodiscard]] bool admit(TimePoint now, const CallArrived &event, Call &call);
     void refuseArrival(const CallArrived &event, ResultCode code, Duration retryAfter);
@@ -247,7 +253,7 @@
     std::map<ServiceId, std::set<Position>> m_queues;
     std::uint64_t m_nextAttempt = 1;
     RouteDurations m_durations;
-    std::optional<TimePoint> m_stopEndAt; ///< End of the graceful shutdown, if there is one.
+    std::optional<StopTimes> m_stop; ///< Of the graceful shutdown, if there is one.
     ForwardCounters m_counters;
     std::vector<ForwardEffect> m_effects;
 };
--- a/currantreel/src/Forward/ForwardTiming.h
+++ b/currantreel/src/Forward/ForwardTiming.h
@@ -32,6 +32,9 @@
 inline constexpr int silencePauseMultiple = 4;
 /// Delay before a retry at a server that already failed the request, if no other server is left.
 inline constexpr Duration retryDelay = 30ms;
+/// Time after the start of a graceful shutdown during which new connections are still accepted,
+/// because the platform still routes them to this host.
+inline constexpr Duration stopAcceptTime = 3s;
 /// Wait for the check whether a server's run has ended.
 inline constexpr Duration serverRunCheckTimeout = 300ms;
 /// Time for which a request that broke with a server waits for other hosts to report that its
--- a/currantreel/src/Shell/ForwardDaemon.cpp
+++ b/currantreel/src/Shell/ForwardDaemon.cpp
@@ -1,5 +1,6 @@
 #include "ForwardDaemon.h"
 
+#include "../Forward/ForwardTiming.h"
 #include "../Settings/CheckedTable.h"
 #include "DecisionLog.h"
 #include "SteadyNow.h"
@@ -28,9 +29,6 @@
 /// Interval at which the settings file is checked for changes.
 constexpr Duration settingsCheckInterval = 2s;
 constexpr Duration idleCheckInterval = 1s;
-/// Time after the start of a graceful shutdown during which new connections are still accepted,
-/// because the platform still routes them to this host.
-constexpr Duration stopAcceptTime = 3000ms;
 /// Time without a new request after which connections are no longer accepted, and again the daemon
 /// ends, so that no request is cut off on a connection that was accepted last.
 constexpr Duration stopQuietTime = 300ms;
@@ -255,7 +253,7 @@
     m_isStopping = true;
     m_stopStarted = steadyNow();
     m_callers.beginStop();
-    m_system.beginStop(m_stopStarted + m_settings.stopGrace - finalAnswerMargin);
+    m_system.beginStop(m_stopStarted, m_stopStarted + m_settings.stopGrace - finalAnswerMargin);
     m_log.write("stopping", { { "requests_in_progress", std::to_string(m_callers.exchanges()) } });
 }
 
@@ -263,7 +261,8 @@
 {
     const Duration since = time - m_stopStarted;
     const bool isQuiet = time - m_callers.lastRequestAt() >= stopQuietTime;
-    const bool endsAccepting = since >= stopAcceptTime && (isQuiet || since >= maxStopAcceptTime);
+    const bool endsAccepting =
+        since >= timing::stopAcceptTime && (isQuiet || since >= maxStopAcceptTime);
     if (endsAccepting && m_callers.isAccepting()) {
         m_callers.refuseNewRequests();
         m_acceptEndedAt = time;
--- a/currantreel/src/Shell/ServerRunChecks.cpp
+++ b/currantreel/src/Shell/ServerRunChecks.cpp
@@ -34,7 +34,9 @@
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(check.address.port);
-    inet_pton(AF_INET, check.address.ip.c_str(), &address.sin_addr);
+    // Without a valid address the check ends with its timer.
+    if (inet_pton(AF_INET, check.address.ip.c_str(), &address.sin_addr) != 1)
+        return;
     started.connection.reset(
         bufferevent_socket_new(m_base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
     bufferevent_setcb(started.connection.get(), nullptr, nullptr, &ServerRunChecks::onEvent,
--- a/test/StopTest.cpp
+++ b/test/StopTest.cpp
@@ -20,7 +20,7 @@
             advance(100ms);
         }
         answer(stream.attempt, 200);
-        system.beginStop(now + 7500ms);
+        system.beginStop(now, now + 7500ms);
     }
 
     /// Whether a request that arrives now is sent to a server.
@@ -45,12 +45,28 @@
 {
     StoppingHost host;
     CHECK(host.isTaken("/gate/1", promptOf(1, 100, 20, 3)));
-    host.advance(3400ms);
+    host.advance(2900ms);
     CHECK(host.isTaken("/gate/1", promptOf(1, 100, 20, 4)));
     host.advance(200ms);
     CHECK_FALSE(host.isTaken("/gate/1", promptOf(1, 100, 20, 5)));
 }
 
+TEST_CASE("late in a graceful shutdown no stream is taken on the ground of how long others took")
+{
+    StoppingHost host;
+    for (int i = 0; i < 40; ++i) {
+        host.advance(50ms);
+        host.call("/summary/1", "key", promptOf(1, 100, 20, 100 + static_cast<unsigned>(i)));
+        const auto stream = host.last<StartForward>();
+        host.events(stream.attempt);
+        host.answer(stream.attempt, 200);
+    }
+    CHECK(host.isTaken("/summary/1", promptOf(1, 100, 20, 3)));
+    host.advance(1100ms);
+    CHECK_FALSE(host.isTaken("/summary/1", promptOf(1, 100, 20, 4)));
+    CHECK(host.isTaken("/summary/1", promptOf(1, 100, 20, 5), 4s));
+}
+
 TEST_CASE("late in a graceful shutdown a request that may run once is taken if its time limit fits")
 {
     StoppingHost host;
