--- a/currantreel/src/Quarantine/SegmentQuarantine.h
+++ b/currantreel/src/Quarantine/SegmentQuarantine.h
@@ -66,7 +66,8 @@
     /// A request with @p segment was proven sound.
     void recordSound(TimePoint now, std::uint64_t segment);
 
-    /// Whether a request with the segment was proven sound lately, after all evidence against it.
+    /// Whether a request with the segment was proven sound lately, unless the evidence since then is
+    /// conclusive.
     [[nodiscard]] bool isKnownSound(std::uint64_t segment) const;
     /// Whether there is evidence against a segment that was not known to be sound.
     [[nodiscard]] bool isSuspect(TimePoint now, std::uint64_t segment) const;
@@ -122,6 +123,8 @@
     [[nodiscard]] static bool isConclusive(const Evidence &evidence);
     [[nodiscard]] static bool isQuarantined(TimePoint now, const Entry &entry);
     [[nodiscard]] const Entry *find(std::uint64_t segment) const;
+    /// Whether another quarantined segment, not in @p segments, was present at all ends of @p entry,
+    /// so that the entry's segment may be sound.
     [[nodiscard]] bool isExplained(TimePoint now, const Entry &entry,
                                    std::span<const std::uint64_t> segments) const;
     Entry &entryOf(std::uint64_t segment);
--- a/test/PeerCodecTest.cpp
+++ b/test/PeerCodecTest.cpp
@@ -1,5 +1,6 @@
 #include <cstring>
 #include <currantreel/Peer>
+#include <currantreel/Quarantine>
 #include <doctest/doctest.h>
 #include <random>
 
@@ -277,3 +278,24 @@
     CHECK(bytes.size() < 10'000);
     CHECK(isError(decodeFrame(withoutPrefix(bytes))));
 }
+
+TEST_CASE(
+    "reports with more segments or ends than a host sends are refused, ages beyond a day are cut")
+{
+    const auto decoded = [](const SegmentReports &reports) {
+        return decodeFrame(withoutPrefix(encoded(PeerMessage(reports))));
+    };
+    SegmentReports reports;
+    reports.reports.resize(SegmentQuarantine::maxReports + 1);
+    CHECK(isError(decoded(reports)));
+    reports.reports.resize(1);
+    reports.reports[0].ends.resize(SegmentQuarantine::maxEnds + 1);
+    CHECK(isError(decoded(reports)));
+    reports.reports[0].ends = { { ServerRunId{ 1 }, std::chrono::hours(900) } };
+    reports.reports[0].soundAge = std::chrono::hours(10'000);
+    const Result<PeerFrame> frame = decoded(reports);
+    REQUIRE_FALSE(isError(frame));
+    const auto &message = std::get<SegmentReports>(std::get<PeerMessage>(value(frame).body));
+    CHECK(message.reports[0].ends[0].age == Duration(24h));
+    CHECK(message.reports[0].soundAge == Duration(24h));
+}
