Review case: a PATCH request's body is forwarded without a length, so a request inside it runs

Cause: the consumer's Content-Length is taken out and none is put in for PATCH; the replica reads the body as the next request of the channel. The script sends 40 PATCH requests, 10 of them with a request inside, to two machines and three sound replicas; without trouble the same with empty bodies.

--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -134,6 +134,10 @@
                 if head is None:
                     return
                 parts = head[0].split(" ")
+                if len(parts) != 3 or not parts[0].isalpha() or not parts[1].startswith("/"):
+                    writer.write(b"HTTP/1.1 400 X\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+                    await writer.drain()
+                    return
                 request = Request(parts[0], parts[1], head[1], await read_body(reader, head[1]))
                 if not await self.handle(request, reader, writer):
                     return
@@ -321,7 +325,7 @@
     async def call(self, method, target, id, headers=(), body=b"", timeout_ms=1500, key=KEY):
         lines = ["%s %s HTTP/1.1" % (method, target), "Host: " + ROUTE_HOST, "X-Request-Id: " + id,
                  "X-Timeout-Ms: %d" % timeout_ms, "Authorization: Bearer " + key, *headers]
-        if method == "POST":
+        if method in ("POST", "PUT", "PATCH"):
             lines.append("Content-Length: %d" % len(body))
         self.site.record.add("consumer: request %s sent, %s %s" % (id, method, target))
         try:
