--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -307,8 +307,9 @@
 class Answer:
     """What a consumer saw: status 0 if the channel ended before a whole answer."""
 
-    def __init__(self, status=0, headers=None, body=b"", fault=""):
+    def __init__(self, status=0, headers=None, body=b"", fault="", hasBegun=True):
         self.status, self.headers, self.body, self.fault = status, headers or {}, body, fault
+        self.hasBegun = hasBegun  # Its head arrived.
 
     def __str__(self):
         return "%d%s" % (self.status, " (%s)" % self.fault if self.fault else "")
@@ -321,6 +322,7 @@
         self.site = site
         self.address = address
         self.reader = self.writer = None
+        self.hasBegun = False  # The head of the answer has arrived.
 
     async def call(self, method, target, id, headers=(), body=b"", timeout_ms=1500, key=KEY):
         lines = ["%s %s HTTP/1.1" % (method, target), "Host: " + ROUTE_HOST, "X-Request-Id: " + id,
@@ -332,15 +334,16 @@
             answer = await asyncio.wait_for(self.exchange(method, "\r\n".join(lines).encode() + b"\r\n\r\n" + body),
                                             timeout_ms / 1000 + 1.5)
         except asyncio.TimeoutError:
-            answer = Answer(0, fault="no answer in time")
+            answer = Answer(0, fault="no answer in time", hasBegun=self.hasBegun)
         except (ConnectionError, asyncio.IncompleteReadError) as fault:
-            answer = Answer(0, fault="channel ended: " + type(fault).__name__)
+            answer = Answer(0, fault="channel ended: " + type(fault).__name__, hasBegun=self.hasBegun)
         if answer.status == 0 or answer.headers.get("connection", "").lower() == "close":
             self.close()
         self.site.record.add("consumer: request %s got %s" % (id, answer))
         return answer
 
     async def exchange(self, method, bytes_):
+        self.hasBegun = False
         if not self.writer:
             ip, port = self.address.split(":")
             self.reader, self.writer = await asyncio.open_connection(ip, int(port))
@@ -349,6 +352,7 @@
         head = await read_head(self.reader)
         if head is None:
             raise ConnectionResetError()
+        self.hasBegun = True
         status = int(head[0].split(" ")[1])
         body = b"" if method == "HEAD" else await read_body(self.reader, head[1])
         return Answer(status, head[1], body)
