--- a/review/4/play.py
+++ b/review/4/play.py
@@ -1,4 +1,4 @@
-"""HEAD requests on kept channels, while one replica sheds part of its requests."""
+"""A replica leaves while a machine is cut off from the store; its answers tell that it leaves."""
 
 import os
 import sys
@@ -6,62 +6,62 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common"))
 from deployment import *
 
-PAIRS = 60
-# Of five requests at the grey replica, two are rejected: 0.4 of them.
-REJECTED_OF_FIVE = (1, 3)
+CUT_S = 5.5  # The sheet's core_cut: for_s = 5.5.
+SERVES_ON_S = 4.0  # drain-ms and a little longer.
+PAUSE_S = 0.02
 
 
-class GreyReplica(Replica):
-    """Rejects part of its requests as if it were full; its health probe is good."""
-
-    sheds = False
-    received = 0
-
-    async def run(self, request, reader, writer):
-        self.received += 1
-        if not self.sheds or self.received % 5 not in REJECTED_OF_FIVE:
-            return await super().run(request, reader, writer)
-        self.note(request, "rejected, not run")
-        body = b"" if request.method == "HEAD" else b"{}"
-        writer.write(self.head(request, 503, ["X-Not-Executed: 1", "Content-Length: %d" % len(body)]) + body)
-        await writer.drain()
-        return True
-
-
-async def stray_bytes(consumer):
-    """Bytes that arrive on the channel while no request waits there."""
-    if not consumer.reader:
-        return b""
-    try:
-        return await asyncio.wait_for(consumer.reader.read(4096), 0.05)
-    except asyncio.TimeoutError:
-        return b""
+async def consume(site, number, until, sent):
+    consumer = Consumer(site, site.front(site.hosts[0]))
+    count = 0
+    while time.monotonic() < until:
+        count += 1
+        id = "payment-%d-%d" % (number, count)
+        sent[id] = [time.monotonic(), None, None]
+        answer = await consumer.call("POST", "/payments/%d" % count, id, body=b"ticket")
+        sent[id][1:] = [time.monotonic(), answer]
+        await asyncio.sleep(PAUSE_S)
+    consumer.close()
 
 
 async def play(site, hasTrouble):
     for number, zone in enumerate("abc", start=1):
-        site.add_replica(GreyReplica if zone == "a" else Replica, "kantar-" + zone, "kantar", number, slots=6)
+        site.add_replica(Replica, "kantar-" + zone, "kantar", number, slots=6)
     await site.start()
-    site.replicas["kantar-a"].sheds = hasTrouble
-    broken = 0
-    for number in range(PAIRS):
-        consumer = Consumer(site, site.front(site.hosts[number % len(site.hosts)]))
-        head = await consumer.call("HEAD", "/tickets/%d" % number, "head-%d" % number)
-        stray = await stray_bytes(consumer)
-        if stray:
-            broken += 1
-            site.record.add("consumer: BROKEN: %d bytes without a request after the answer %d to head-%d: %r"
-                            % (len(stray), head.status, number, stray[:120]))
-        consumer.close()
-    site.record.add("answers with bytes that are no answer: %d of %d" % (broken, PAIRS))
-    return BROKEN if broken else PASS
-
+    leaving = site.replicas["kantar-a"]
+    sent = {}
+    started = time.monotonic()
+    consumers = [asyncio.create_task(consume(site, number, started + CUT_S + 1.0, sent)) for number in range(4)]
+    await asyncio.sleep(0.5)
+    if hasTrouble:
+        site.record.add("the machine is cut off from the store")
+        await site.store.cut()
+    await asyncio.sleep(0.5)
+    site.record.add("kantar-a reports draining, and says so in its answers from now on")
+    leaving.announce("draining")
+    leaving.is_leaving = True
+    await asyncio.sleep(SERVES_ON_S)
+    site.record.add("kantar-a exits")
+    leaving.end()
+    await asyncio.sleep(0.3)
+    if hasTrouble:
+        site.record.add("the cut ends")
+        await site.store.heal()
+    await asyncio.gather(*consumers)
 
-def routes():
-    return [{"name": "ticket-lookup", "host": ROUTE_HOST, "path-prefix": "/tickets/", "kind": "idempotent",
-             "timeout-ms": 800, "slo-ms": 100, "priority": 2, "service": "kantar", "max-attempts": 1,
-             "no-auth": False}]
+    told = [at for at, answer in ((entry[1], entry[2]) for entry in sent.values())
+            if answer and answer.headers.get("server-leaving") == "1"]
+    if not told:
+        site.record.add("no answer with Server-Leaving was passed on")
+        return PASS if not hasTrouble else NO_RUN
+    bound = min(told) + BOUNDS["drain-ms"] / 1000
+    late = [request.id for at, request in leaving.runs if sent[request.id][0] > bound]
+    lost = [id for id in late if sent[id][2].status != 200]
+    site.record.add("first answer with Server-Leaving passed on at %.3f; requests sent later than drain-ms after it "
+                    "that reached kantar-a: %d; of these without a success: %d %s"
+                    % (min(told) - site.record.started, len(late), len(lost), lost))
+    return BROKEN if late else PASS
 
 
 if __name__ == "__main__":
-    main(os.path.dirname(os.path.abspath(__file__)), play, routes=routes())
+    main(os.path.dirname(os.path.abspath(__file__)), play, hosts=1)
