Review case 9: a daemon hangs when a replica crashes under prompts of many parts

Cause: SegmentQuarantine::recordEnd() makes an entry for each segment of all requests that broke with the replica, and dropExcess() removes all but 512 of them with a pass over all for each: quadratic. The case crashes one of six model replicas that reads 80 prompts of 700 parts.

--- a/review/common-2/rig.py
+++ b/review/common-2/rig.py
@@ -11,6 +11,7 @@
 import os
 import random
 import re
+import resource
 import shutil
 import signal
 import socket
@@ -209,34 +210,47 @@
     """A replica of a service. It runs each request that names it, and records that.
 
     A request on a path below `events` is answered by a stream of as many events as its last part says,
-    each `gap_s`; all others at once.
+    each `gap_s`, after `prefill_s`; all others at once.
     """
 
-    def __init__(self, deployment, service, instance, address, slots, gap_s):
+    def __init__(self, deployment, service, instance, address, slots, gap_s, prefill_s):
         self.deployment = deployment
         self.service = service
         self.instance = instance
         self.address = address
         self.slots = slots
         self.gap_s = gap_s
+        self.prefill_s = prefill_s
+        self.writers = set()
         self.born = int(time.time() * 1000)
 
     async def start(self):
         self.server = await serve(self.address, self.handle)
 
+    def crash(self):
+        """Ends the replica: its channels are reset and its address refuses new ones."""
+        self.deployment.note("crash", replica=self.instance, channels=len(self.writers))
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
     def entry(self, state="ready"):
         return {"service": self.service, "addr": self.address, "zone": self.deployment.zone, "version": "v1",
                 "slots": self.slots, "state": state, "cold-left-ms": 0, "sequence": 1, "born": self.born}
 
     async def handle(self, reader, writer):
-        while True:
-            head = await read_head(reader)
-            if head is None:
-                return
-            method, path, _ = head[0].split()
-            headers = head[1]
-            await read_body(reader, headers)
-            await self.run(method, path, headers, writer)
+        self.writers.add(writer)
+        try:
+            while True:
+                head = await read_head(reader)
+                if head is None:
+                    return
+                method, path, _ = head[0].split()
+                headers = head[1]
+                await read_body(reader, headers)
+                await self.run(method, path, headers, writer)
+        finally:
+            self.writers.discard(writer)
 
     async def run(self, method, path, headers, writer):
         identifier = header(headers, "X-Request-Id")
@@ -252,6 +266,7 @@
             body = ("%s of %s" % (identifier, self.instance)).encode()
             writer.write(message("HTTP/1.1 200 OK", own + [("Content-Length", len(body))], body))
             return await writer.drain()
+        await asyncio.sleep(self.prefill_s)
         writer.write(message("HTTP/1.1 200 OK", own + [("Content-Type", "text/event-stream"),
                                                        ("Transfer-Encoding", "chunked")]))
         first = int(header(headers, "Last-Event-Id", "0")) + 1
@@ -277,12 +292,13 @@
 class Host:
     """A machine with its daemon."""
 
-    def __init__(self, name, ip, zone, cpu_share, memory_mb):
+    def __init__(self, name, ip, zone, cpu_share, memory_mb, max_fds):
         self.name = name
         self.ip = ip
         self.zone = zone
         self.cpu_share = cpu_share
         self.memory_mb = memory_mb
+        self.max_fds = max_fds
         self.process = None
         self.front = ip + ":8740"
         self.ready = ip + ":8749"
@@ -319,16 +335,17 @@
         self.record.write("%8.3f %s %s\n" % (time.monotonic() - self.began, event, shown))
         self.record.flush()
 
-    def add_replica(self, service, slots=16, gap_s=0.1):
+    def add_replica(self, service, slots=16, gap_s=0.1, prefill_s=0.0):
         number = len(self.replicas) + 1
         instance = "i-%s-%d" % (service, number)
-        replica = Replica(self, service, instance, "%s.%d:9400" % (self.net, 100 + number), slots, gap_s)
+        replica = Replica(self, service, instance, "%s.%d:9400" % (self.net, 100 + number), slots, gap_s,
+                          prefill_s)
         self.replicas.append(replica)
         return replica
 
-    def add_host(self, cpu_share=0.25, memory_mb=260):
+    def add_host(self, cpu_share=0.25, memory_mb=260, max_fds=4100):
         number = len(self.hosts) + 1
-        host = Host("front-%d" % number, "%s.%d" % (self.net, number), self.zone, cpu_share, memory_mb)
+        host = Host("front-%d" % number, "%s.%d" % (self.net, number), self.zone, cpu_share, memory_mb, max_fds)
         self.hosts.append(host)
         return host
 
@@ -350,7 +367,7 @@
                 "ip": host.ip, "zone": host.zone, "region": "region-1",
                 "seeds": [other.control for other in self.hosts[:3]],
                 "listen": {"front": host.front, "ready": host.ready, "control": host.control},
-                "limits": {"cpu-share": host.cpu_share, "cores": 1, "memory-mb": host.memory_mb, "max-fds": 4100},
+                "limits": {"cpu-share": host.cpu_share, "cores": 1, "memory-mb": host.memory_mb, "max-fds": host.max_fds},
                 "bounds": self.bounds, "platform": {"addr": self.store.address}}
 
     async def start_host(self, host):
@@ -360,8 +377,9 @@
         words = self.role["run"].replace("/etc/currantreel/local.toml", path).split()
         environment = {"PATH": os.environ.get("PATH", ""), "HOME": self.folder, "CURRANTREEL_CONFIG": path}
         with open(os.path.join(self.folder, host.name + ".log"), "ab") as log:
-            host.process = await asyncio.create_subprocess_exec(*words, cwd=ROOT, env=environment, stdout=log,
-                                                                stderr=log, stdin=asyncio.subprocess.DEVNULL)
+            host.process = await asyncio.create_subprocess_exec(
+                *words, cwd=ROOT, env=environment, stdout=log, stderr=log, stdin=asyncio.subprocess.DEVNULL,
+                preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (host.max_fds, host.max_fds)))
         self.note("started", host=host.name)
 
     async def is_ready(self, host):
@@ -422,6 +440,34 @@
         answer.is_complete = True
         answer.begun.set()
 
+    async def open_channel(self, host):
+        """A channel that a consumer keeps for several requests."""
+        ip, port = host.front.rsplit(":", 1)
+        return await asyncio.open_connection(ip, int(port), limit=1 << 20)
+
+    async def call_on(self, channel, path, limit_ms=5000, method="GET", key="key-1"):
+        """A request on a kept channel; returns its identifier and the answer."""
+        self.calls += 1
+        identifier = "request-%d" % self.calls
+        reader, writer = channel
+        answer = Answer()
+        self.note("sent", request=identifier, path=path, key=key)
+        try:
+            async with asyncio.timeout(limit_ms / 1000):
+                writer.write(message("%s %s HTTP/1.1" % (method, path), [
+                    ("Host", "mill.example"), ("X-Request-Id", identifier), ("X-Timeout-Ms", limit_ms),
+                    ("Authorization", "Bearer " + key)]))
+                await writer.drain()
+                head = await read_head(reader)
+                if head is not None:
+                    answer.headers = head[1]
+                    answer.status = int(head[0].split()[1])
+                    await self.read_answer(reader, answer)
+        except (ConnectionError, OSError, asyncio.IncompleteReadError, TimeoutError, ValueError):
+            pass
+        self.note("answered", request=identifier, status=answer.status, complete=answer.is_complete)
+        return identifier, answer
+
     async def call(self, host, path, limit_ms=15000, body=b"{}", answer=None, key="key-1", **more):
         """A request of a consumer; returns its identifier and the answer."""
         self.calls += 1
