--- a/review/6/play.py
+++ b/review/6/play.py
@@ -51,7 +51,7 @@
         # The same routes, in another order.
         sent = {}
         for number in range(REQUESTS):
-            service = SERVICES[(number + 1) % len(SERVICES)]
+            service = SERVICES[(number + 1 + number // len(SERVICES)) % len(SERVICES)]
             identifier, answer = await deployment.call(host, "/ask-%s/events/%d" % (service, SHORT_EVENTS), **prompt())
             sent[identifier] = service
         for task in first:
--- a/review/7/play.py
+++ b/review/7/play.py
@@ -23,12 +23,12 @@
 
 
 async def play(has_trouble):
-    deployment = rig.Deployment(FOLDER)
+    deployment = rig.Deployment(FOLDER, ZONES)
     try:
         for _ in range(REPLICAS):
             deployment.add_replica("app", SLOTS)
-        for number in range(len(ZONES) * MACHINES_A_ZONE):
-            deployment.add_host().zone = ZONES[number % len(ZONES)]
+        for _ in range(len(ZONES) * MACHINES_A_ZONE):
+            deployment.add_host()
         hosts = deployment.hosts
         routes = [rig.route("post", "app", "non_idempotent", **{"timeout-ms": 800})]
         await deployment.start(rig.configuration(routes, [], ["app"]))
--- a/review/common-2/rig.py
+++ b/review/common-2/rig.py
@@ -144,6 +144,7 @@
 
     def __init__(self, address):
         self.address = address
+        self.server = None
         self.items = {}
         self.history = []
         self.revision = 100
@@ -213,14 +214,16 @@
     each `gap_s`, after `prefill_s`; all others at once.
     """
 
-    def __init__(self, deployment, service, instance, address, slots, gap_s, prefill_s):
+    def __init__(self, deployment, service, instance, address, zone, slots, gap_s, prefill_s):
         self.deployment = deployment
         self.service = service
         self.instance = instance
         self.address = address
+        self.zone = zone
         self.slots = slots
         self.gap_s = gap_s
         self.prefill_s = prefill_s
+        self.server = None
         self.writers = set()
         self.born = int(time.time() * 1000)
 
@@ -235,7 +238,7 @@
             writer.transport.abort()
 
     def entry(self, state="ready"):
-        return {"service": self.service, "addr": self.address, "zone": self.deployment.zone, "version": "v1",
+        return {"service": self.service, "addr": self.address, "zone": self.zone, "version": "v1",
                 "slots": self.slots, "state": state, "cold-left-ms": 0, "sequence": 1, "born": self.born}
 
     async def handle(self, reader, writer):
@@ -308,9 +311,8 @@
 class Deployment:
     """Store, replicas, daemons and consumers of one run."""
 
-    zone = "zone-a"
-
-    def __init__(self, folder, bounds=None):
+    def __init__(self, folder, zones=("zone-a",)):
+        self.zones = zones
         self.record = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
         self.began = time.monotonic()
         self.folder = tempfile.mkdtemp(prefix="currantreel-review-")
@@ -324,7 +326,6 @@
         # As DEPLOY.md shows them.
         self.bounds = {"contact-ms": 3000, "drain-ms": 2000, "grace-s": 8, "config-ms": 2000, "budget-ratio": 0.2,
                        "budget-window-s": 10, "retry-slack": 52}
-        self.bounds.update(bounds or {})
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             self.role = tomllib.load(file)["roles"]["router"]
         with open(os.path.join(ROOT, self.role["template"]), encoding="utf-8") as file:
@@ -338,14 +339,15 @@
     def add_replica(self, service, slots=16, gap_s=0.1, prefill_s=0.0):
         number = len(self.replicas) + 1
         instance = "i-%s-%d" % (service, number)
-        replica = Replica(self, service, instance, "%s.%d:9400" % (self.net, 100 + number), slots, gap_s,
-                          prefill_s)
+        replica = Replica(self, service, instance, "%s.%d:9400" % (self.net, 100 + number),
+                          self.zones[number % len(self.zones)], slots, gap_s, prefill_s)
         self.replicas.append(replica)
         return replica
 
     def add_host(self, cpu_share=0.25, memory_mb=260, max_fds=4100):
         number = len(self.hosts) + 1
-        host = Host("front-%d" % number, "%s.%d" % (self.net, number), self.zone, cpu_share, memory_mb, max_fds)
+        zone = self.zones[number % len(self.zones)]
+        host = Host("front-%d" % number, "%s.%d" % (self.net, number), zone, cpu_share, memory_mb, max_fds)
         self.hosts.append(host)
         return host
 
@@ -440,34 +442,6 @@
         answer.is_complete = True
         answer.begun.set()
 
-    async def open_channel(self, host):
-        """A channel that a consumer keeps for several requests."""
-        ip, port = host.front.rsplit(":", 1)
-        return await asyncio.open_connection(ip, int(port), limit=1 << 20)
-
-    async def call_on(self, channel, path, limit_ms=5000, method="GET", key="key-1"):
-        """A request on a kept channel; returns its identifier and the answer."""
-        self.calls += 1
-        identifier = "request-%d" % self.calls
-        reader, writer = channel
-        answer = Answer()
-        self.note("sent", request=identifier, path=path, key=key)
-        try:
-            async with asyncio.timeout(limit_ms / 1000):
-                writer.write(message("%s %s HTTP/1.1" % (method, path), [
-                    ("Host", "mill.example"), ("X-Request-Id", identifier), ("X-Timeout-Ms", limit_ms),
-                    ("Authorization", "Bearer " + key)]))
-                await writer.drain()
-                head = await read_head(reader)
-                if head is not None:
-                    answer.headers = head[1]
-                    answer.status = int(head[0].split()[1])
-                    await self.read_answer(reader, answer)
-        except (ConnectionError, OSError, asyncio.IncompleteReadError, TimeoutError, ValueError):
-            pass
-        self.note("answered", request=identifier, status=answer.status, complete=answer.is_complete)
-        return identifier, answer
-
     async def call(self, host, path, limit_ms=15000, body=b"{}", answer=None, key="key-1", **more):
         """A request of a consumer; returns its identifier and the answer."""
         self.calls += 1
@@ -486,9 +460,9 @@
             if host.process and host.process.returncode is None:
                 host.process.kill()
                 await host.process.wait()
-        self.store.server.close()
-        for replica in self.replicas:
-            replica.server.close()
+        for stand_in in [self.store, *self.replicas]:
+            if stand_in.server:
+                stand_in.server.close()
         self.record.close()
         shutil.rmtree(self.folder, ignore_errors=True)
 
@@ -525,12 +499,14 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def limited():
+        # Ended from outside, it still ends the daemons.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         async with asyncio.timeout(110):
             return await play(has_trouble)
 
     try:
         is_broken = asyncio.run(limited())
-    except (NotRun, TimeoutError) as reason:
+    except (NotRun, TimeoutError, asyncio.CancelledError) as reason:
         print("not run: %s" % (reason or "out of time"))
         raise SystemExit(EXIT_NOT_RUN)
     except Exception as reason:  # a fault of the case itself shows nothing
