Review: the cases judge and exit as the issue asks

A script whose output was closed, or whose Python failed, exited with 1, and one that ran out of time with 124; all exit with 2 now.

--- a/review/6/play.py
+++ b/review/6/play.py
@@ -62,7 +62,7 @@
         for identifier, service, replica in wrong:
             deployment.note("WRONG SERVICE", request=identifier, allowed=sent[identifier], ran_at=service,
                             replica=replica)
-        print("%d requests ran after the start, %d of them at a service that no configuration allows"
+        rig.tell("%d requests ran after the start, %d of them at a service that no configuration allows"
               % (len(runs), len(wrong)))
         if not runs:
             raise rig.NotRun("no request ran")
--- a/review/7/play.py
+++ b/review/7/play.py
@@ -19,6 +19,7 @@
 DRAIN_S = 2.0
 
 START_SPREAD_S = 0.3  # "All machines start within 0.3 s of each other"
+STEP_S = 0.04
 REQUESTS = 40  # at each machine
 
 
@@ -40,21 +41,25 @@
         if has_trouble:
             for host in hosts:
                 await deployment.signal(host, signal.SIGKILL)
+            began = time.monotonic()
             for host in hosts[:3]:
                 await deployment.start_host(host)
-            await asyncio.sleep(START_SPREAD_S / 3)
+            for host in hosts[:3]:
+                await deployment.wait_ready(host, poll_s=0.01)
         # A release: the new one starts first.
         deployment.store.write("servers/" + coming.instance, coming.entry())
         deployment.note("new replica", replica=coming.instance)
-        await asyncio.sleep(START_SPREAD_S / 3)
+        await asyncio.sleep(STEP_S)
         # One of those that never report that they drain: its entry is removed, and it serves on for a while.
         deployment.store.remove("servers/" + leaving.instance)
         removed = time.monotonic()
         deployment.note("removal acknowledged", replica=leaving.instance)
         if has_trouble:
-            await asyncio.sleep(START_SPREAD_S / 3)
+            await asyncio.sleep(STEP_S)
             for host in hosts[3:]:
                 await deployment.start_host(host)
+            if time.monotonic() - began > START_SPREAD_S:
+                raise rig.NotRun("the machines did not start within 0.3 s")
             for host in hosts:
                 await deployment.wait_ready(host)
         await asyncio.sleep(CONTACT_S + 0.5)  # longer than drain-ms, too
@@ -71,7 +76,7 @@
             count = sum(sent[run[0]] == host for run in late)
             deployment.note("sent to the replica that left", host=host.name, requests=count, of=REQUESTS)
         runs = sum(run[0] in sent for run in deployment.runs)
-        print("%d requests ran, %d of them at the replica that had left %.1f s before" % (runs, len(late), age))
+        rig.tell("%d requests ran, %d of them at the replica that had left %.1f s before" % (runs, len(late), age))
         if not runs:
             raise rig.NotRun("no request ran")
         return bool(late)
--- a/review/common-2/rig.py
+++ b/review/common-2/rig.py
@@ -15,13 +15,25 @@
 import shutil
 import signal
 import socket
+import sys
 import tempfile
 import time
 import tomllib
 import urllib.parse
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
-EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
+# Of play.py; run.sh exits with 1 for EXIT_BROKEN only, so that an error of Python itself shows nothing.
+EXIT_HELD, EXIT_NOT_RUN, EXIT_BROKEN = 0, 2, 11
+TIME_LIMIT_S = 100
+MEBIBYTE = 1024 * 1024
+
+
+def tell(text):
+    """Prints a line; the verdict doesn't depend on whether somebody reads it."""
+    try:
+        print(text, flush=True)
+    except OSError:
+        sys.stdout = open(os.devnull, "w", encoding="utf-8")
 
 
 class NotRun(Exception):
@@ -211,7 +223,7 @@
     """A replica of a service. It runs each request that names it, and records that.
 
     A request on a path below `events` is answered by a stream of as many events as its last part says,
-    each `gap_s`, after `prefill_s`; all others at once.
+    each `gap_s`, after `prefill_s`; all others after `work_s`.
     """
 
     def __init__(self, deployment, service, instance, address, zone, slots, gap_s, prefill_s):
@@ -223,6 +235,7 @@
         self.slots = slots
         self.gap_s = gap_s
         self.prefill_s = prefill_s
+        self.work_s = 0.0
         self.server = None
         self.writers = set()
         self.born = int(time.time() * 1000)
@@ -266,6 +279,7 @@
         self.deployment.note("run", request=identifier, service=self.service, replica=self.instance, path=path)
         self.deployment.runs.append((identifier, self.service, self.instance))
         if "/events/" not in path:
+            await asyncio.sleep(self.work_s)
             body = ("%s of %s" % (identifier, self.instance)).encode()
             writer.write(message("HTTP/1.1 200 OK", own + [("Content-Length", len(body))], body))
             return await writer.drain()
@@ -292,6 +306,20 @@
         self.begun = asyncio.Event()
 
 
+def free_net():
+    """The first three bytes of loopback addresses on which the ports used here are free."""
+    for _ in range(20):
+        net = "127.%d.%d" % (random.randint(20, 220), random.randint(1, 250))
+        try:
+            for ip, port in ((1, 8740), (1, 8748), (1, 8749), (101, 9400), (250, 9300)):
+                with socket.socket() as probe:
+                    probe.bind(("%s.%d" % (net, ip), port))
+            return net
+        except OSError:
+            continue
+    raise NotRun("no free ports")
+
+
 class Host:
     """A machine with its daemon."""
 
@@ -317,7 +345,7 @@
         self.began = time.monotonic()
         self.folder = tempfile.mkdtemp(prefix="currantreel-review-")
         # All of 127.0.0.0/8 is loopback; a net of its own keeps runs apart.
-        self.net = "127.%d.%d" % (random.randint(20, 220), random.randint(1, 250))
+        self.net = free_net()
         self.store = Store(self.net + ".250:9300")
         self.hosts = []
         self.replicas = []
@@ -388,12 +416,12 @@
         answer = await self.exchange(host.ready, "GET", "/ready", [("Host", host.ready)], limit_s=1)
         return answer.status == 200
 
-    async def wait_ready(self, host, limit_s=15):
+    async def wait_ready(self, host, limit_s=15, poll_s=0.1):
         end = time.monotonic() + limit_s
         while not await self.is_ready(host):
             if time.monotonic() > end:
                 raise NotRun("%s is not ready" % host.name)
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(poll_s)
         self.note("ready", host=host.name)
 
     async def signal(self, host, number):
@@ -442,6 +470,66 @@
         answer.is_complete = True
         answer.begun.set()
 
+    def resident_bytes(self, host):
+        """Resident memory of a daemon; 0 if it has ended."""
+        try:
+            with open("/proc/%d/status" % host.process.pid, encoding="ascii") as file:
+                for line in file:
+                    if line.startswith("VmRSS:"):
+                        return int(line.split()[1]) * 1024
+        except OSError:
+            pass
+        return 0
+
+    async def bound_memory(self, host):
+        """What the platform does: "A process that exceeds `memory-mb` is killed." Returns once it was."""
+        host.most_bytes = 0
+        while True:
+            host.most_bytes = max(host.most_bytes, self.resident_bytes(host))
+            if host.most_bytes > host.memory_mb * MEBIBYTE:
+                self.note("over memory-mb", host=host.name, bytes=host.most_bytes)
+                await self.signal(host, signal.SIGKILL)
+                return
+            await asyncio.sleep(0.02)
+
+    async def keep_calling(self, host, path, lost):
+        """A consumer that sends one request after the other on a kept channel, until the channel ends.
+
+        Appends to `lost` a request that came on the channel after an answered one, ran, and got no byte.
+        """
+        reader, writer = await asyncio.open_connection(host.ip, int(host.front.rsplit(":", 1)[1]))
+        answered = 0
+        try:
+            while True:
+                self.calls += 1
+                identifier = "request-%d" % self.calls
+                got = b""
+                try:
+                    writer.write(message("POST %s HTTP/1.1" % path, [
+                        ("Host", "mill.example"), ("X-Request-Id", identifier), ("X-Timeout-Ms", 4000),
+                        ("Authorization", "Bearer key-1"), ("Content-Length", 2)], b"{}"))
+                    got = await reader.read(1)
+                    if got:
+                        line = got + await reader.readline()
+                        size = 0
+                        while (field := await reader.readline()) not in (b"\r\n", b""):
+                            if field.lower().startswith(b"content-length:"):
+                                size = int(field.split(b":")[1])
+                        await reader.readexactly(size)
+                        answered += 1
+                        self.note("kept channel answered", request=identifier, line=line.decode("latin-1").strip())
+                        continue
+                except (ConnectionError, asyncio.IncompleteReadError):
+                    pass
+                runs = [run for run in self.runs if run[0] == identifier]
+                self.note("kept channel ended", request=identifier, host=host.name, answered=answered,
+                          got_bytes=len(got), ran_at=[run[2] for run in runs])
+                if answered and runs and not got:
+                    lost.append(identifier)
+                return
+        finally:
+            writer.close()
+
     async def call(self, host, path, limit_ms=15000, body=b"{}", answer=None, key="key-1", **more):
         """A request of a consumer; returns its identifier and the answer."""
         self.calls += 1
@@ -501,16 +589,16 @@
     async def limited():
         # Ended from outside, it still ends the daemons.
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
-        async with asyncio.timeout(110):
+        async with asyncio.timeout(TIME_LIMIT_S):
             return await play(has_trouble)
 
     try:
         is_broken = asyncio.run(limited())
     except (NotRun, TimeoutError, asyncio.CancelledError) as reason:
-        print("not run: %s" % (reason or "out of time"))
+        tell("not run: %s" % (reason or "out of time"))
         raise SystemExit(EXIT_NOT_RUN)
     except Exception as reason:  # a fault of the case itself shows nothing
-        print("not run: %r" % reason)
+        tell("not run: %r" % reason)
         raise SystemExit(EXIT_NOT_RUN)
-    print("broken" if is_broken else "held")
+    tell("broken" if is_broken else "held")
     raise SystemExit(EXIT_BROKEN if is_broken else EXIT_HELD)
