A restarted host's requests run at their own service

Cause: each process numbered its attempts from 1, and an owner keeps leases by host and number. A quick restart ends none of them, so a new request met the lease of one of the earlier process with the same number and got its server. The host sent it there without a look at the server's service.

Change: a process numbers its attempts from a random number, which holds for a clock that was set back too. An owner ends leases and queued requests of a host's earlier process with the first message of the next one. A granted server of another service is returned to its owner.

--- a/currantreel/src/Core/Id.h
+++ b/currantreel/src/Core/Id.h
@@ -43,7 +43,8 @@
 
 /// One exchange between a caller and this host; unique within an incarnation.
 using RequestId = Id<struct RequestTag>;
-/// One attempt to run a request on one backend server; unique within an incarnation.
+/// One attempt to run a request on one backend server; other hosts know it by this number, so that
+/// no two processes of a host use the same ones.
 using AttemptId = Id<struct AttemptTag>;
 /// One granted slot of a backend server; unique within an owner's incarnation.
 using LeaseId = Id<struct LeaseTag>;
--- a/currantreel/src/Forward/ForwardOwners.cpp
+++ b/currantreel/src/Forward/ForwardOwners.cpp
@@ -221,7 +221,7 @@
 {
     ForwardServer *server = m_directory.find(grant.server);
     const bool isUsable =
-        server && m_directory.isUsable(*server)
+        server && server->announced.service == call.service && m_directory.isUsable(*server)
         && m_directory.warmUp().maySendGranted(now, warmUpOf(*server, call.partition));
     if (!isUsable) {
         if (server && m_directory.isEvacuated(*server))
--- a/currantreel/src/Forward/ForwardSystem.cpp
+++ b/currantreel/src/Forward/ForwardSystem.cpp
@@ -18,6 +18,8 @@
 constexpr std::uint32_t lowestEnginePriority = 9;
 /// Maximum number of workspaces with counters of their own.
 constexpr std::size_t maxCountedWorkspaces = 256;
+/// Tells the numbers of attempts from the other random numbers of a process.
+constexpr std::uint64_t attemptSeed = 0x61'74'74'65'6d'70'74;
 
 std::uint32_t rankOf(const Route &route, const KeyedWorkspace *workspace)
 {
@@ -50,10 +52,20 @@
     return suspects;
 }
 
+/// Number of the first attempt of a process: drawn at random, since owners may still know attempts of
+/// an earlier process of this host, and its clock may have been set back since.
+std::uint64_t firstAttempt(std::uint64_t seed)
+{
+    return std::mt19937_64(seed ^ attemptSeed)();
+}
+
 } // namespace
 
 ForwardSystem::ForwardSystem(FailureDomainId failureDomain, std::uint64_t seed)
-    : m_failureDomain(failureDomain), m_random(seed), m_tieBreakerSeed(m_random())
+    : m_failureDomain(failureDomain),
+      m_random(seed),
+      m_tieBreakerSeed(m_random()),
+      m_nextAttempt(firstAttempt(seed))
 {
 }
 
--- a/currantreel/src/Forward/ForwardSystem.h
+++ b/currantreel/src/Forward/ForwardSystem.h
@@ -287,7 +287,7 @@
     Table<Call> m_calls;
     std::unordered_map<AttemptId, RequestId> m_attempts;
     std::map<ServiceId, Queue> m_queues;
-    std::uint64_t m_nextAttempt = 1;
+    std::uint64_t m_nextAttempt;
     RouteDurations m_durations;
     std::optional<StopTimes> m_stop; ///< Of the graceful shutdown, if there is one.
     ForwardCounters m_counters;
--- a/currantreel/src/Placement/PlacementLeases.cpp
+++ b/currantreel/src/Placement/PlacementLeases.cpp
@@ -17,6 +17,17 @@
 {
 }
 
+void PlacementLeases::recordProcess(HostId host, Incarnation process)
+{
+    Incarnation &known = m_processes.try_emplace(host, process).first->second;
+    if (std::exchange(known, process) == process)
+        return;
+    auto lease = m_leases.lower_bound({ host, AttemptId{} });
+    while (lease != m_leases.end() && lease->first.first == host)
+        lease = remove(lease);
+    m_queue.removeAllOf(host);
+}
+
 PlacementGrant PlacementLeases::grantRequest(TimePoint now, HostId from,
                                              const PlacementGrantRequest &request)
 {
@@ -198,6 +209,7 @@
             ++lease;
     }
     m_queue.removeExpired(now, isPresent);
+    std::erase_if(m_processes, [&](const auto &entry) { return !isPresent(entry.first); });
 }
 
 } // namespace currantreel
--- a/currantreel/src/Placement/PlacementLeases.h
+++ b/currantreel/src/Placement/PlacementLeases.h
@@ -26,6 +26,10 @@
     /// @param incarnation incarnation of this process; sent with each grant.
     PlacementLeases(ServerDirectory &directory, EngineGroups &groups, Incarnation incarnation);
 
+    /// A message of the run @p process of @p host arrived: leases of an earlier run end, and its queued
+    /// requests are withdrawn.
+    void recordProcess(HostId host, Incarnation process);
+
     /// Chooses a server for a request of @p from and leases it. Without capacity, the request is
     /// queued if it may be. A request that is repeated gets the same answer again, unless the
     /// failure domain of its server was evacuated since.
@@ -83,6 +87,7 @@
     Incarnation m_incarnation;
     Leases m_leases;
     PlacementQueue m_queue;
+    std::map<HostId, Incarnation> m_processes;
 };
 
 } // namespace currantreel
--- a/currantreel/src/Placement/PlacementQueue.cpp
+++ b/currantreel/src/Placement/PlacementQueue.cpp
@@ -44,6 +44,15 @@
     m_waiting.erase(key);
 }
 
+void PlacementQueue::removeAllOf(HostId host)
+{
+    auto waiting = m_waiting.lower_bound({ host, AttemptId{} });
+    while (waiting != m_waiting.end() && waiting->first.first == host) {
+        m_order.remove(waiting->first);
+        waiting = m_waiting.erase(waiting);
+    }
+}
+
 void PlacementQueue::removeExpired(TimePoint now, const std::function<bool(HostId)> &isPresent)
 {
     std::vector<Key> expired;
--- a/currantreel/src/Placement/PlacementQueue.h
+++ b/currantreel/src/Placement/PlacementQueue.h
@@ -39,6 +39,9 @@
     /// Removes a request that its host withdrew or that was placed otherwise.
     void remove(const Key &key);
 
+    /// Removes all requests of @p host.
+    void removeAllOf(HostId host);
+
     /// Removes requests that are past their deadline, or whose host is not present.
     void removeExpired(TimePoint now, const std::function<bool(HostId)> &isPresent);
 
--- a/currantreel/src/Shell/ForwardDaemonUpdates.cpp
+++ b/currantreel/src/Shell/ForwardDaemonUpdates.cpp
@@ -115,9 +115,11 @@
 
 void ForwardDaemon::onPeerEvent(Event event)
 {
-    if (const auto *received = std::get_if<PeerMessageReceived>(&event))
-        std::visit([&](const auto &message) { receive(received->from, message); },
-                   received->message);
+    const auto *received = std::get_if<PeerMessageReceived>(&event);
+    if (!received)
+        return;
+    m_leases.recordProcess(received->from, received->process);
+    std::visit([&](const auto &message) { receive(received->from, message); }, received->message);
 }
 
 void ForwardDaemon::receive(HostId from, const FleetUpdate &update)
--- a/currantreel/src/Shell/PeerLink.h
+++ b/currantreel/src/Shell/PeerLink.h
@@ -56,6 +56,8 @@
 
     /// The peer; not valid on an accepted link before its greeting was received.
     [[nodiscard]] HostId peer() const { return m_peer; }
+    /// Run of the peer's process.
+    [[nodiscard]] Incarnation peerProcess() const { return m_peerGreeting.incarnation; }
     [[nodiscard]] bool isAccepted() const { return m_side == LinkSide::Acceptor; }
     [[nodiscard]] bool isReady() const { return m_state == State::Ready; }
     [[nodiscard]] bool isEnded() const { return m_state == State::Ended; }
--- a/currantreel/src/Shell/PeerLinks.cpp
+++ b/currantreel/src/Shell/PeerLinks.cpp
@@ -191,7 +191,7 @@
 void PeerLinks::onMessage(const PeerLink &link, PeerMessage message)
 {
     ++m_counters.messagesReceived;
-    m_sink(PeerMessageReceived{ link.peer(), std::move(message) });
+    m_sink(PeerMessageReceived{ link.peer(), std::move(message), link.peerProcess() });
 }
 
 void PeerLinks::onRefused(PeerLink &link, const Error &error)
--- a/currantreel/src/World/Event.h
+++ b/currantreel/src/World/Event.h
@@ -125,6 +125,7 @@
 {
     HostId from;
     PeerMessage message;
+    Incarnation process = {}; ///< Run of the sender's process, if it states one.
 };
 
 /// A planned shutdown was requested.
--- a/test/PlacementLeasesTest.cpp
+++ b/test/PlacementLeasesTest.cpp
@@ -529,3 +529,70 @@
         CHECK(wasAsked);
     }
 }
+
+// Guards against the review's ROUTE: a host that was restarted got a server of another service.
+TEST_CASE("two processes of a host use different numbers for their attempts")
+{
+    std::set<AttemptId> attempts;
+    for (const std::uint64_t seed : { 7U, 8U }) {
+        ForwardFixture fixture(seed);
+        fixture.system.setOwnerLookup([](TimePoint, ServiceId, std::size_t) { return owner; });
+        for (std::uint64_t i = 1; i <= 20; ++i)
+            fixture.call("/gate/question", "key", promptOf(7, 200, 100, i));
+        for (const PlacementGrantRequest &request : sent<PlacementGrantRequest>(fixture))
+            attempts.insert(request.attempt);
+    }
+    CHECK(attempts.size() == 40);
+}
+
+// Guards against the review's ROUTE, where the owner confuses requests all the same.
+TEST_CASE("a request is not sent to a granted server of another service, and its lease is returned")
+{
+    OwnerFixture fixture;
+    fixture.addServer("ledger-1", "ledger");
+    fixture.system.setOwnerLookup([](TimePoint, ServiceId, std::size_t) { return owner; });
+    fixture.call("/gate/question", "key", promptOf(7, 200, 100, 1));
+    const AttemptId attempt = sent<PlacementGrantRequest>(fixture).front().attempt;
+    fixture.system.onGrant(
+        fixture.now, owner,
+        PlacementGrant{ attempt, BackendServerId::ofName("ledger-1"), 300, Incarnation{ 5 } });
+    fixture.advance(30ms);
+    REQUIRE(fixture.all<StartForward>().size() == 1);
+    CHECK(fixture.last<StartForward>().instance.starts_with("engine-"));
+    REQUIRE(sent<PlacementUpdates>(fixture).size() == 1);
+    CHECK(sent<PlacementUpdates>(fixture).front().updates.front().attempt == attempt);
+}
+
+// Guards against the review's ROUTE: an owner took a new request for one of the process before.
+TEST_CASE(
+    "leases and queued requests of a host's earlier process end with the first message of the "
+    "next one")
+{
+    OwnerFixture fixture(1);
+    fixture.addServer("ledger-1", "ledger");
+    const HostId host{ 1 };
+    fixture.leases.recordProcess(host, Incarnation{ 1'000 });
+    fixture.leases.recordProcess(HostId{ 2 }, Incarnation{ 1'000 });
+    std::uint64_t attempt = 0;
+    while (fixture.leases.queued() < 3) {
+        ++attempt;
+        PlacementGrantRequest request = requestOf(attempt, promptOf(7, 100, 20'000, attempt));
+        request.mayWait = true;
+        (void)fixture.leases.grantRequest(fixture.now, host, request);
+    }
+    const std::size_t leased = fixture.leases.size();
+    REQUIRE(leased > 0);
+    (void)fixture.leases.grantRequest(fixture.now, HostId{ 2 }, requestOf(attempt, {}));
+
+    // A clock that was set back gives a restart a lower number.
+    fixture.leases.recordProcess(host, Incarnation{ 900 });
+    CHECK(fixture.leases.queued() == 0);
+    CHECK(fixture.leases.size() <= 1); // of the other host
+    for (std::uint64_t number = 1; number <= attempt; ++number) {
+        PlacementGrantRequest request = requestOf(number, {});
+        request.service = ServiceId::ofName("ledger");
+        const PlacementGrant grant = fixture.leases.grantRequest(fixture.now, host, request);
+        CHECK((!grant.server.isValid() || grant.server == BackendServerId::ofName("ledger-1")));
+        CHECK((number > 1 || grant.server.isValid()));
+    }
+}
