Hosts learn of removals that the host they ask has no record of

Cause: hosts take published changes from each other, above the revision that they are complete at. A listing of the store tells what there is, not what was removed. A host that listed after a removal handed on its revision as if its changes were all, and a host that knew the entry set its own revision past the removal, from where it asked the store too.

Change: an answer states which removals its sender has recorded. A host takes over the items in any case, but the revision only if none of its items may have been removed unrecorded. Otherwise it asks another host, and the store when its state is as old as half the bound, as before. What a listing shows as removed is sent ahead of its turn; an answer or listing older than the host's own state no longer brings a removed item back.

--- a/currantreel/src/Fleet/FleetMessages.h
+++ b/currantreel/src/Fleet/FleetMessages.h
@@ -51,6 +51,7 @@
     std::vector<PublishedItem> items;
     /// The items, with those before the requested revision, are all of the revision's era.
     bool isWhole = false;
+    RemovalRecord removals = {}; ///< Of the sender's published state.
 };
 
 } // namespace currantreel
--- a/currantreel/src/Fleet/FleetPublishedState.cpp
+++ b/currantreel/src/Fleet/FleetPublishedState.cpp
@@ -72,11 +72,18 @@
 }
 
 /// Leaves of the @p items after the first @p count the small ones, of the lowest revisions, that may
-/// be sent ahead of their turn.
-void eraseLargeAfter(std::vector<PublishedItem> &items, std::size_t count)
+/// be sent ahead of their turn. And the removals that a listing at @p listed showed: they happened
+/// earlier, so that a host without them is not complete up to an earlier revision either.
+/// @return false if there are too many of these.
+bool eraseLargeAfter(std::vector<PublishedItem> &items, std::size_t count, PublishedRevision listed)
 {
     std::size_t smallBytes = 0;
-    const auto isLeftOut = [&smallBytes](const PublishedItem &item) {
+    std::size_t removalBytes = 0;
+    const auto isLeftOut = [&](const PublishedItem &item) {
+        if (item.isRemoved && item.revision == listed) {
+            removalBytes += bytesOf(item);
+            return removalBytes > maxItemBytes;
+        }
         if (mustComeInOrder(item) || smallBytes + bytesOf(item) > maxSmallItemsBytes)
             return true;
         smallBytes += bytesOf(item);
@@ -88,6 +95,7 @@
             std::iter_swap(kept++, item);
     }
     items.erase(kept, items.end());
+    return removalBytes <= maxItemBytes;
 }
 
 /// Answer to @p request for changes of @p state: those of the lowest revisions
@@ -102,6 +110,7 @@
     update.after = request.knowsEras ? request.revision
                                      : PublishedRevision(request.revision.number, current.era);
     update.items = state.changesAfter(now, update.after);
+    update.removals = state.removals();
     std::sort(update.items.begin(), update.items.end(),
               [](const PublishedItem &left, const PublishedItem &right) {
                   return left.revision < right.revision;
@@ -113,7 +122,8 @@
         update.isWhole = current.era > 0 && state.isWhole();
     } else {
         update.revision = std::min(current, update.items[count].revision.before());
-        eraseLargeAfter(update.items, count);
+        if (!eraseLargeAfter(update.items, count, update.removals.gapEnd))
+            update.removals.gapBegin = {};
     }
     return update;
 }
@@ -146,9 +156,12 @@
     const auto sender = m_hosts.find(from);
     if (sender != m_hosts.end() && update.items.empty())
         sender->second.revision = update.revision;
-    const bool isGapless = update.after <= state.revision();
-    std::vector<PublishedItem> applied =
-        state.apply(now, update.items, isGapless ? update.revision : PublishedRevision());
+    const bool isInOrder = update.after <= state.revision();
+    const bool isGapless = isInOrder && state.canFollow(update.revision, update.removals);
+    std::vector<PublishedItem> applied = state.takeOver(
+        now, update.items, isGapless ? update.revision : state.revision(), update.removals);
+    if (isInOrder && !isGapless && sender != m_hosts.end())
+        onUnfollowable(now, sender->second, state);
     if (isGapless && update.isWhole) {
         const std::vector<PublishedItem> removed = state.completeEra(now, update.revision);
         applied.insert(applied.end(), removed.begin(), removed.end());
@@ -157,6 +170,15 @@
     return applied;
 }
 
+void FleetSystem::onUnfollowable(TimePoint now, Host &host, const PublishedState &state)
+{
+    ++m_counters.itemAnswersWithGaps;
+    host.unfollowableAt = state.revision();
+    // Without the platform, its next changes are better than none.
+    if (!m_description.reachesPlatform)
+        m_requestPendingUntil = now + requestTimeout;
+}
+
 std::vector<HostId> FleetSystem::successors(TimePoint now, std::size_t count) const
 {
     std::vector<HostId> hosts;
@@ -224,7 +246,9 @@
         if (host.aheadSince == TimePoint())
             host.aheadSince = now;
         m_behindSince = std::min(m_behindSince.value_or(now), host.aheadSince);
-        if (now - host.aheadSince >= lag)
+        const bool isUnfollowable =
+            m_description.reachesPlatform && host.unfollowableAt == state.revision();
+        if (now - host.aheadSince >= lag && !isUnfollowable)
             ahead.push_back(id);
     }
     return ahead;
--- a/currantreel/src/Fleet/FleetSystem.h
+++ b/currantreel/src/Fleet/FleetSystem.h
@@ -25,6 +25,8 @@
 {
     std::uint64_t itemRequests = 0;
     std::uint64_t itemRequestsUnanswered = 0; ///< Of these, without an answer in time.
+    /// Answers of hosts that may lack a record of a removal, so that this one is still behind.
+    std::uint64_t itemAnswersWithGaps = 0;
     HostId lastUnanswered; ///< Host that left the last unanswered request without an answer.
 };
 
@@ -128,6 +130,8 @@
         TimePoint heartbeatAt; ///< When its heartbeat last rose here.
         TimePoint listedAt; ///< When a seed list or another host last named it.
         TimePoint aheadSince; ///< Since when its revision is above this host's; else the origin.
+        /// Own revision at which its changes could not be taken over, if that was so.
+        std::optional<PublishedRevision> unfollowableAt;
         TimePoint excludedUntil;
         Duration exclusion{}; ///< Length of the last exclusion; zero after its next update.
         bool hasHeartbeat = false; ///< Its heartbeat rose since this host learned of it.
@@ -155,6 +159,7 @@
     void announceChange(TimePoint now, const PublishedState &state);
     void requestItems(TimePoint now, const PublishedState &state);
     [[nodiscard]] std::vector<HostId> hostsAhead(TimePoint now, const PublishedState &state);
+    void onUnfollowable(TimePoint now, Host &host, const PublishedState &state);
     void countUnanswered();
     void removeExpired(TimePoint now);
     [[nodiscard]] bool isPresent(const Host &host, TimePoint now) const;
--- a/currantreel/src/Peer/FleetDecoder.cpp
+++ b/currantreel/src/Peer/FleetDecoder.cpp
@@ -62,6 +62,26 @@
     return value.value_or(std::string());
 }
 
+PublishedRevision revisionOf(const wire::Revision *revision)
+{
+    return revision ? PublishedRevision(revision->number(), revision->era()) : PublishedRevision();
+}
+
+/// A host that states no record takes all removals for recorded.
+RemovalRecord recordOf(const wire::RemovalRecord *table)
+{
+    RemovalRecord record;
+    record.currentAt = {};
+    if (!table)
+        return record;
+    record.completeSince = revisionOf(table->complete_since());
+    record.gapBegin = revisionOf(table->gap_begin());
+    record.gapEnd = revisionOf(table->gap_end());
+    record.currentAt = revisionOf(table->current_at());
+    record.mayLackUntil = revisionOf(table->may_lack_until());
+    return record;
+}
+
 Duration ageOfSegment(std::uint32_t milliseconds)
 {
     return std::min<Duration>(std::chrono::milliseconds(milliseconds), maxTime);
@@ -198,6 +218,7 @@
     update.revision = PublishedRevision(table.revision(), table.era());
     update.age = ageOf(table.age_ms());
     update.isWhole = table.is_whole();
+    update.removals = recordOf(table.removals());
     if (!table.items())
         return update;
     std::size_t room = maxFrameBytes;
--- a/currantreel/src/Peer/Generated/PeerMessage_generated.h
+++ b/currantreel/src/Peer/Generated/PeerMessage_generated.h
@@ -132,6 +132,11 @@
 struct PublishedItem;
 struct PublishedItemBuilder;
 
+struct Revision;
+
+struct RemovalRecord;
+struct RemovalRecordBuilder;
+
 struct PublishedNews;
 struct PublishedNewsBuilder;
 
@@ -845,6 +850,39 @@
   using type = HeldPlacement;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) Revision FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t number_;
+  uint32_t era_;
+  int32_t padding0__;
+
+ public:
+  struct Traits;
+  Revision()
+      : number_(0),
+        era_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  Revision(uint64_t _number, uint32_t _era)
+      : number_(flatbuffers::EndianScalar(_number)),
+        era_(flatbuffers::EndianScalar(_era)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t number() const {
+    return flatbuffers::EndianScalar(number_);
+  }
+  uint32_t era() const {
+    return flatbuffers::EndianScalar(era_);
+  }
+};
+FLATBUFFERS_STRUCT_END(Revision, 16);
+
+struct Revision::Traits {
+  using type = Revision;
+};
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) RunEnd FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t run_;
@@ -3628,6 +3666,93 @@
       era);
 }
 
+struct RemovalRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RemovalRecordBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_COMPLETE_SINCE = 4,
+    VT_GAP_BEGIN = 6,
+    VT_GAP_END = 8,
+    VT_CURRENT_AT = 10,
+    VT_MAY_LACK_UNTIL = 12
+  };
+  const currantreel::wire::Revision *complete_since() const {
+    return GetStruct<const currantreel::wire::Revision *>(VT_COMPLETE_SINCE);
+  }
+  const currantreel::wire::Revision *gap_begin() const {
+    return GetStruct<const currantreel::wire::Revision *>(VT_GAP_BEGIN);
+  }
+  const currantreel::wire::Revision *gap_end() const {
+    return GetStruct<const currantreel::wire::Revision *>(VT_GAP_END);
+  }
+  const currantreel::wire::Revision *current_at() const {
+    return GetStruct<const currantreel::wire::Revision *>(VT_CURRENT_AT);
+  }
+  const currantreel::wire::Revision *may_lack_until() const {
+    return GetStruct<const currantreel::wire::Revision *>(VT_MAY_LACK_UNTIL);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<currantreel::wire::Revision>(verifier, VT_COMPLETE_SINCE, 8) &&
+           VerifyField<currantreel::wire::Revision>(verifier, VT_GAP_BEGIN, 8) &&
+           VerifyField<currantreel::wire::Revision>(verifier, VT_GAP_END, 8) &&
+           VerifyField<currantreel::wire::Revision>(verifier, VT_CURRENT_AT, 8) &&
+           VerifyField<currantreel::wire::Revision>(verifier, VT_MAY_LACK_UNTIL, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct RemovalRecordBuilder {
+  typedef RemovalRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_complete_since(const currantreel::wire::Revision *complete_since) {
+    fbb_.AddStruct(RemovalRecord::VT_COMPLETE_SINCE, complete_since);
+  }
+  void add_gap_begin(const currantreel::wire::Revision *gap_begin) {
+    fbb_.AddStruct(RemovalRecord::VT_GAP_BEGIN, gap_begin);
+  }
+  void add_gap_end(const currantreel::wire::Revision *gap_end) {
+    fbb_.AddStruct(RemovalRecord::VT_GAP_END, gap_end);
+  }
+  void add_current_at(const currantreel::wire::Revision *current_at) {
+    fbb_.AddStruct(RemovalRecord::VT_CURRENT_AT, current_at);
+  }
+  void add_may_lack_until(const currantreel::wire::Revision *may_lack_until) {
+    fbb_.AddStruct(RemovalRecord::VT_MAY_LACK_UNTIL, may_lack_until);
+  }
+  explicit RemovalRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RemovalRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RemovalRecord>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RemovalRecord> CreateRemovalRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const currantreel::wire::Revision *complete_since = nullptr,
+    const currantreel::wire::Revision *gap_begin = nullptr,
+    const currantreel::wire::Revision *gap_end = nullptr,
+    const currantreel::wire::Revision *current_at = nullptr,
+    const currantreel::wire::Revision *may_lack_until = nullptr) {
+  RemovalRecordBuilder builder_(_fbb);
+  builder_.add_may_lack_until(may_lack_until);
+  builder_.add_current_at(current_at);
+  builder_.add_gap_end(gap_end);
+  builder_.add_gap_begin(gap_begin);
+  builder_.add_complete_since(complete_since);
+  return builder_.Finish();
+}
+
+struct RemovalRecord::Traits {
+  using type = RemovalRecord;
+  static auto constexpr Create = CreateRemovalRecord;
+};
+
 struct PublishedNews FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef PublishedNewsBuilder Builder;
   struct Traits;
@@ -3638,7 +3763,8 @@
     VT_AGE_MS = 10,
     VT_AFTER_ERA = 12,
     VT_ERA = 14,
-    VT_IS_WHOLE = 16
+    VT_IS_WHOLE = 16,
+    VT_REMOVALS = 18
   };
   const flatbuffers::Vector<flatbuffers::Offset<currantreel::wire::PublishedItem>> *items() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<currantreel::wire::PublishedItem>> *>(VT_ITEMS);
@@ -3661,6 +3787,9 @@
   bool is_whole() const {
     return GetField<uint8_t>(VT_IS_WHOLE, 0) != 0;
   }
+  const currantreel::wire::RemovalRecord *removals() const {
+    return GetPointer<const currantreel::wire::RemovalRecord *>(VT_REMOVALS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ITEMS) &&
@@ -3672,6 +3801,8 @@
            VerifyField<uint32_t>(verifier, VT_AFTER_ERA, 4) &&
            VerifyField<uint32_t>(verifier, VT_ERA, 4) &&
            VerifyField<uint8_t>(verifier, VT_IS_WHOLE, 1) &&
+           VerifyOffset(verifier, VT_REMOVALS) &&
+           verifier.VerifyTable(removals()) &&
            verifier.EndTable();
   }
 };
@@ -3701,6 +3832,9 @@
   void add_is_whole(bool is_whole) {
     fbb_.AddElement<uint8_t>(PublishedNews::VT_IS_WHOLE, static_cast<uint8_t>(is_whole), 0);
   }
+  void add_removals(flatbuffers::Offset<currantreel::wire::RemovalRecord> removals) {
+    fbb_.AddOffset(PublishedNews::VT_REMOVALS, removals);
+  }
   explicit PublishedNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3720,10 +3854,12 @@
     uint32_t age_ms = 0,
     uint32_t after_era = 0,
     uint32_t era = 0,
-    bool is_whole = false) {
+    bool is_whole = false,
+    flatbuffers::Offset<currantreel::wire::RemovalRecord> removals = 0) {
   PublishedNewsBuilder builder_(_fbb);
   builder_.add_revision(revision);
   builder_.add_after(after);
+  builder_.add_removals(removals);
   builder_.add_era(era);
   builder_.add_after_era(after_era);
   builder_.add_age_ms(age_ms);
@@ -3745,7 +3881,8 @@
     uint32_t age_ms = 0,
     uint32_t after_era = 0,
     uint32_t era = 0,
-    bool is_whole = false) {
+    bool is_whole = false,
+    flatbuffers::Offset<currantreel::wire::RemovalRecord> removals = 0) {
   auto items__ = items ? _fbb.CreateVector<flatbuffers::Offset<currantreel::wire::PublishedItem>>(*items) : 0;
   return currantreel::wire::CreatePublishedNews(
       _fbb,
@@ -3755,7 +3892,8 @@
       age_ms,
       after_era,
       era,
-      is_whole);
+      is_whole,
+      removals);
 }
 
 struct SegmentReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/currantreel/src/Peer/PeerEncoder.cpp
+++ b/currantreel/src/Peer/PeerEncoder.cpp
@@ -274,15 +274,34 @@
                                      item.revision.era);
 }
 
+wire::Revision toWire(PublishedRevision revision)
+{
+    return { revision.number, revision.era };
+}
+
+flatbuffers::Offset<wire::RemovalRecord> encodeRecord(Builder &builder, const RemovalRecord &record)
+{
+    const wire::Revision completeSince = toWire(record.completeSince);
+    const wire::Revision gapBegin = toWire(record.gapBegin);
+    const wire::Revision gapEnd = toWire(record.gapEnd);
+    const wire::Revision currentAt = toWire(record.currentAt);
+    const wire::Revision mayLackUntil = toWire(record.mayLackUntil);
+    return wire::CreateRemovalRecord(builder, &completeSince, &gapBegin, &gapEnd, &currentAt,
+                                     &mayLackUntil);
+}
+
 EncodedBody encode(Builder &builder, const PublishedUpdate &message)
 {
     std::vector<flatbuffers::Offset<wire::PublishedItem>> items;
     items.reserve(message.items.size());
     for (const PublishedItem &item : message.items)
         items.push_back(encodeItem(builder, item));
-    return bodyOf(wire::CreatePublishedNews(
-        builder, builder.CreateVector(items), message.after.number, message.revision.number,
-        toWireMilliseconds(message.age), message.after.era, message.revision.era, message.isWhole));
+    const auto vector = builder.CreateVector(items);
+    const auto removals = encodeRecord(builder, message.removals);
+    return bodyOf(wire::CreatePublishedNews(builder, vector, message.after.number,
+                                            message.revision.number,
+                                            toWireMilliseconds(message.age), message.after.era,
+                                            message.revision.era, message.isWhole, removals));
 }
 
 flatbuffers::Offset<wire::SegmentReport> encodeReport(Builder &builder, const SegmentReport &report)
--- a/currantreel/src/Published/PublishedReader.h
+++ b/currantreel/src/Published/PublishedReader.h
@@ -111,7 +111,7 @@
             return {};
         }
         std::vector<PublishedItem> changed =
-            m_state->replace(now, "", std::exchange(m_listed, {}), m_listRevision);
+            m_state->replace(now, "", std::exchange(m_listed, {}), m_listRevision, page.revision);
         m_state->confirm(m_listedAt);
         m_watchedRevision = m_listRevision;
         m_isComplete = true;
--- a/currantreel/src/Published/PublishedState.h
+++ b/currantreel/src/Published/PublishedState.h
@@ -3,6 +3,7 @@
 
 #include "../Core/Time.h"
 #include "PublishedRevision.h"
+#include "RemovalRecord.h"
 #include <algorithm>
 #include <cstdint>
 #include <map>
@@ -40,16 +41,26 @@
 class PublishedState
 {
 public:
-    /// Applies changes, after which the state is complete up to @p revision. Returns those that took
-    /// effect.
+    /// Applies changes that the platform sent, after which the state is complete up to @p revision.
+    /// Returns those that took effect.
     std::vector<PublishedItem> apply(TimePoint now, const std::vector<PublishedItem> &items,
                                      PublishedRevision revision);
 
+    /// Whether this state is complete up to @p revision with the changes up to it of another host's
+    /// state, of which @p source tells what was removed.
+    [[nodiscard]] bool canFollow(PublishedRevision revision, const RemovalRecord &source) const;
+
+    /// Applies changes of another host's state, with which this one is complete up to @p revision;
+    /// revision() if it cannot follow. Returns those that took effect.
+    std::vector<PublishedItem> takeOver(TimePoint now, const std::vector<PublishedItem> &items,
+                                        PublishedRevision revision, const RemovalRecord &source);
+
     /// Applies a complete listing of the keys that begin with @p prefix, taken at @p revision: keys
     /// missing in it were removed, unless they changed later. Returns the changes that took effect.
+    /// @param ended revision at the end of the listing, if it took several calls.
     std::vector<PublishedItem> replace(TimePoint now, const std::string &prefix,
                                        const std::vector<PublishedItem> &items,
-                                       PublishedRevision revision);
+                                       PublishedRevision revision, PublishedRevision ended = {});
 
     /// All items of the era of @p revision are here: those of earlier eras were removed. Does nothing
     /// unless the state has just changed to that era. Returns the changes that took effect.
@@ -64,6 +75,9 @@
     /// Revision up to which all changes were received. Some later ones may be here too.
     [[nodiscard]] PublishedRevision revision() const { return m_revision; }
 
+    /// What other hosts need to know of removals to take over changesAfter().
+    [[nodiscard]] RemovalRecord removals() const;
+
     /// All items with a revision above @p revision, including removals, deferred ones too.
     [[nodiscard]] std::vector<PublishedItem> changesAfter(TimePoint now,
                                                           PublishedRevision revision) const;
@@ -95,16 +109,25 @@
     {
         PublishedItem item;
         TimePoint dueAt;
+        PublishedRevision presentAt; ///< The item was still there at this revision.
     };
 
     void beginEra(TimePoint now);
+    /// @param presentAt revision at which items that are removed were there for sure.
+    std::vector<PublishedItem> applyAll(TimePoint now, const std::vector<PublishedItem> &items,
+                                        PublishedRevision revision, PublishedRevision presentAt);
     [[nodiscard]] bool isInUse(const std::string &key) const;
+    /// Whether @p item is of a revision up to which this state is complete, but not here any more.
+    [[nodiscard]] bool wasRemoved(const PublishedItem &item) const;
     void setWhole();
-    void applyItem(TimePoint now, const PublishedItem &item, std::vector<PublishedItem> &applied);
+    void applyItem(TimePoint now, const PublishedItem &item, PublishedRevision presentAt,
+                   std::vector<PublishedItem> &applied);
 
     std::map<std::string, PublishedItem> m_items; ///< Removals are kept to reject outdated changes.
     std::map<std::string, DeferredRemoval> m_deferred;
+    RemovalRecord m_removals;
     PublishedRevision m_revision;
+    PublishedRevision m_newestItem; ///< Above m_revision if it arrived ahead of others.
     std::uint32_t m_wholeEra = 0; ///< Latest era of which all items are or were here.
     std::uint64_t m_restores = 0;
     TimePoint m_eraBeganAt;
--- a/currantreel/src/Shell/ForwardDaemonUpdates.cpp
+++ b/currantreel/src/Shell/ForwardDaemonUpdates.cpp
@@ -231,6 +231,7 @@
     report.behind = m_fleet.timeBehind(steadyNow());
     report.itemRequests = m_fleet.counters().itemRequests;
     report.itemRequestsUnanswered = m_fleet.counters().itemRequestsUnanswered;
+    report.itemAnswersWithGaps = m_fleet.counters().itemAnswersWithGaps;
     return report;
 }
 
--- a/currantreel/src/Shell/ForwardOperatorHttpServer.cpp
+++ b/currantreel/src/Shell/ForwardOperatorHttpServer.cpp
@@ -195,6 +195,7 @@
     const PublishedStateReport published = m_publishedState();
     counter("currantreel_published_requests_total", published.itemRequests);
     counter("currantreel_published_requests_unanswered_total", published.itemRequestsUnanswered);
+    counter("currantreel_published_answers_with_gaps_total", published.itemAnswersWithGaps);
     counter("currantreel_platform_checks_total", published.platformChecks);
     counter("currantreel_store_restores_total", published.restores);
     counter("currantreel_platform_outdated_answers_total", published.outdatedAnswers);
--- a/currantreel/src/Shell/ForwardOperatorHttpServer.h
+++ b/currantreel/src/Shell/ForwardOperatorHttpServer.h
@@ -23,6 +23,7 @@
     Duration behind{}; ///< For how long the host has known that another one has newer state.
     std::uint64_t itemRequests = 0;
     std::uint64_t itemRequestsUnanswered = 0;
+    std::uint64_t itemAnswersWithGaps = 0;
 };
 
 /// HTTP server for operators of a host that serves published routes: health, readiness, status and
--- a/test/StoreFleet.h
+++ b/test/StoreFleet.h
@@ -41,7 +41,15 @@
             change.revision.era = era;
     }
 
+    /// Changes up to now can no longer be watched.
+    void discardHistory()
+    {
+        history.clear();
+        historyBegin = revision;
+    }
+
     PublishedRevision revision{ 100 };
+    PublishedRevision historyBegin; ///< After which `history` is complete.
     std::map<std::string, PublishedItem> items;
     std::vector<PublishedItem> history;
 };
@@ -62,6 +70,8 @@
         strip(update.revision);
         strip(update.items);
         update.isWhole = false;
+        update.removals = {};
+        update.removals.currentAt = {};
     }
     static void strip(std::vector<PublishedItem> &items)
     {
@@ -117,6 +127,8 @@
         bool isOld = false; ///< Knows of no eras.
         bool isCut = false; ///< From the store.
         bool isAlone = false; ///< Cut from the other hosts.
+        bool isDown = false; ///< Its process has ended, or stands still.
+        bool isStarted = false;
         std::size_t itemsReceived = 0; ///< In the largest message of another host.
     };
 
@@ -134,9 +146,12 @@
     {
         for (const TimePoint end = now + time; now < end; now += 25ms) {
             for (auto &host : hosts) {
-                if (!m_isStarted)
-                    host->reader.start(now);
-                answer(*host);
+                if (host->isDown)
+                    continue;
+                if (std::exchange(host->isStarted, true))
+                    answer(*host);
+                else
+                    host->reader.start(now); // answered in the next step
                 const bool mustWatch = host->fleet.mustWatchPlatform(now);
                 host->reader.setWatching(now, mustWatch);
                 if (host->fleet.mustCheckPlatform(now, host->state))
@@ -145,10 +160,18 @@
                 use(*host, host->state.takeDueRemovals(now));
                 send(*host);
             }
-            m_isStarted = true;
         }
     }
 
+    /// Ends the process of @p host and starts the next one.
+    void restart(std::size_t host)
+    {
+        const FleetHost self = hosts[host]->self;
+        hosts[host] = std::make_unique<Host>(addresses[host], host + 1'000);
+        hosts[host]->fleet.setSeeds(addresses);
+        hosts[host]->self = self;
+    }
+
     /// Hosts at which @p key has @p value; an empty one stands for a key that is not in use.
     [[nodiscard]] std::size_t having(const std::string &key, const std::string &value) const
     {
@@ -215,7 +238,8 @@
             if (change.revision.number > call.after)
                 changes.items.push_back(change);
         }
-        const bool isGone = call.after > store.revision.number;
+        const bool isGone =
+            call.after > store.revision.number || call.after < store.historyBegin.number;
         if (!isGone && changes.items.empty() && call.wait > Duration::zero()) {
             host.source.call->wait -= 25ms;
             return;
@@ -236,7 +260,7 @@
         for (OutgoingFleetMessage &outgoing : from.fleet.run(now, from.self, from.state)) {
             const auto to = std::find(addresses.begin(), addresses.end(), outgoing.address);
             Host &receiver = *hosts[static_cast<std::size_t>(to - addresses.begin())];
-            if (from.isAlone || receiver.isAlone)
+            if (from.isAlone || receiver.isAlone || receiver.isDown)
                 continue;
             const HostId sender = FleetSystem::idOf(addresses[static_cast<std::size_t>(
                 std::find_if(hosts.begin(), hosts.end(),
@@ -265,8 +289,6 @@
         host.itemsReceived = std::max(host.itemsReceived, update.items.size());
         use(host, host.fleet.receive(now, from, update, host.state));
     }
-
-    bool m_isStarted = false;
 };
 
 } // namespace test
