A host without the platform soon finds one that it can follow

A host that couldn't take over the changes of one that is ahead waited 800 ms before the next request while it didn't reach the platform, and drew the next host at random.

Each host ahead is asked once now; the wait comes only before one is asked again.

--- a/currantreel/src/Fleet/FleetPublishedState.cpp
+++ b/currantreel/src/Fleet/FleetPublishedState.cpp
@@ -173,9 +173,9 @@
 void FleetSystem::onUnfollowable(TimePoint now, Host &host, const PublishedState &state)
 {
     ++m_counters.itemAnswersWithGaps;
+    const bool isKnown = host.unfollowableAt == state.revision();
     host.unfollowableAt = state.revision();
-    // Without the platform, its next changes are better than none.
-    if (!m_description.reachesPlatform)
+    if (isKnown)
         m_requestPendingUntil = now + requestTimeout;
 }
 
@@ -237,6 +237,7 @@
     const bool watchesPlatform = m_description.reachesPlatform && mustWatchPlatform(now);
     const Duration lag = watchesPlatform ? watchLag : Duration::zero();
     std::vector<HostId> ahead;
+    std::vector<HostId> unfollowable;
     m_behindSince.reset();
     for (auto &[id, host] : m_hosts) {
         if (!isPresent(host, now) || host.revision <= state.revision()) {
@@ -246,12 +247,11 @@
         if (host.aheadSince == TimePoint())
             host.aheadSince = now;
         m_behindSince = std::min(m_behindSince.value_or(now), host.aheadSince);
-        const bool isUnfollowable =
-            m_description.reachesPlatform && host.unfollowableAt == state.revision();
-        if (now - host.aheadSince >= lag && !isUnfollowable)
-            ahead.push_back(id);
+        if (now - host.aheadSince >= lag)
+            (host.unfollowableAt == state.revision() ? unfollowable : ahead).push_back(id);
     }
-    return ahead;
+    // The platform tells more than they do. Without it, what is new there is better than nothing.
+    return ahead.empty() && !m_description.reachesPlatform ? unfollowable : ahead;
 }
 
 void FleetSystem::countUnanswered()
--- a/test/PublishedRemovalTest.cpp
+++ b/test/PublishedRemovalTest.cpp
@@ -109,6 +109,29 @@
     }
 }
 
+TEST_CASE("a host without the store soon finds the one host that has recorded a removal")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        RemovalFleet fleet(seed);
+        std::size_t slow = 0;
+        while (fleet.hosts[slow]->reader.isWatching())
+            ++slow;
+        fleet.hosts[slow]->isDown = true;
+        fleet.replaceServer();
+        fleet.advance(1s);
+        for (std::size_t host = 0; host < hostCount; ++host) {
+            if (host != slow && host != (slow + 1) % hostCount)
+                fleet.restart(host);
+        }
+        fleet.advance(250ms);
+        fleet.hosts[slow]->isDown = false;
+        fleet.hosts[slow]->isCut = true;
+        fleet.hosts[slow]->self.reachesPlatform = false;
+        fleet.advance(changeBound);
+        CHECK(fleet.having("leaving", "") == hostCount);
+    }
+}
+
 TEST_CASE("a host that starts without the store gets a state of several messages from hosts that "
           "listed it")
 {
