--- a/currantreel/src/Placement/PlacementLeases.h
+++ b/currantreel/src/Placement/PlacementLeases.h
@@ -87,7 +87,7 @@
     Incarnation m_incarnation;
     Leases m_leases;
     PlacementQueue m_queue;
-    std::map<HostId, Incarnation> m_processes;
+    std::map<HostId, Incarnation> m_processes; ///< Of the hosts that are present.
 };
 
 } // namespace currantreel
