--- a/currantreel/src/Fleet/FleetPublishedState.cpp
+++ b/currantreel/src/Fleet/FleetPublishedState.cpp
@@ -122,6 +122,7 @@
         update.isWhole = current.era > 0 && state.isWhole();
     } else {
         update.revision = std::min(current, update.items[count].revision.before());
+        // Without all of them, no host can follow that needs one.
         if (!eraseLargeAfter(update.items, count, update.removals.gapEnd))
             update.removals.gapBegin = {};
     }
