--- a/test/PlacementLeasesTest.cpp
+++ b/test/PlacementLeasesTest.cpp
@@ -530,7 +530,7 @@
     }
 }
 
-// Guards against the review's ROUTE: a host that was restarted got a server of another service.
+// Guards against a restarted host that got a server of another service: its numbers began anew.
 TEST_CASE("two processes of a host use different numbers for their attempts")
 {
     std::set<AttemptId> attempts;
@@ -545,7 +545,7 @@
     CHECK(attempts.size() == 40);
 }
 
-// Guards against the review's ROUTE, where the owner confuses requests all the same.
+// Guards against a request at another service where the owner confuses requests all the same.
 TEST_CASE("a request is not sent to a granted server of another service, and its lease is returned")
 {
     OwnerFixture fixture;
@@ -563,7 +563,7 @@
     CHECK(sent<PlacementUpdates>(fixture).front().updates.front().attempt == attempt);
 }
 
-// Guards against the review's ROUTE: an owner took a new request for one of the process before.
+// Guards against an owner that takes a new request for one of the host's earlier process.
 TEST_CASE(
     "leases and queued requests of a host's earlier process end with the first message of the "
     "next one")
--- a/test/PublishedRemovalTest.cpp
+++ b/test/PublishedRemovalTest.cpp
@@ -6,7 +6,7 @@
 using namespace test;
 
 /// @file
-/// Guards against the review's DRAIN: hosts went on sending to a server whose entry was removed, since
+/// Guards against a removal that is never learnt: hosts went on sending to a server whose entry was removed, since
 /// a host that listed the store after the removal handed on its revision without it.
 
 namespace {
--- a/test/process/test_restarts.py
+++ b/test/process/test_restarts.py
@@ -11,8 +11,8 @@
 
 
 class RestartedHost(unittest.TestCase):
-    """Guards against ROUTE: after a restart, requests ran at another service than their route's, since owners took
-    them for those of the earlier process with the same numbers."""
+    """Guards against requests that ran at another service than their route's after a restart, since owners took them
+    for those of the earlier process with the same numbers."""
 
     @classmethod
     def setUpClass(cls):
